--- a/admin/admin.go
+++ b/admin/admin.go
@@ -14,14 +14,14 @@
 
 	"github.com/lacewingshift/lacewingshift/config"
 	"github.com/lacewingshift/lacewingshift/event"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Bounds of a request.
 const (
 	// maxBodyBytes leaves room for the indentation of lists, which are stored
 	// without it.
-	maxBodyBytes = 4 * platform.MaxValueBytes
+	maxBodyBytes = 4 * objectapi.MaxValueBytes
 	// requestTimeout covers a change whose outcome has to be read back.
 	requestTimeout = 15 * time.Second
 	bodyTimeout    = 10 * time.Second
--- a/capacity/cellsrun.go
+++ b/capacity/cellsrun.go
@@ -6,7 +6,7 @@
 
 	"github.com/lacewingshift/lacewingshift/cell"
 	"github.com/lacewingshift/lacewingshift/dispatch"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
 
@@ -266,7 +266,7 @@
 }
 
 // slotsOf counts the slots of upstreams.
-func slotsOf(upstreams []platform.Host) int {
+func slotsOf(upstreams []objectapi.Host) int {
 	slots := 0
 	for _, u := range upstreams {
 		slots += u.Slots
--- a/capacity/fleet.go
+++ b/capacity/fleet.go
@@ -7,7 +7,7 @@
 
 	"github.com/lacewingshift/lacewingshift/config"
 	"github.com/lacewingshift/lacewingshift/member"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Delays of messages in the simulations, one way.
@@ -52,7 +52,7 @@
 	rng     *rand.Rand
 	hosts   []string
 	nodes   map[string]*fleetNode
-	list    []platform.Host
+	list    []objectapi.Host
 	version int64
 	data    []byte
 
@@ -96,8 +96,8 @@
 	n.spread = config.NewSpread(m.Host, m.Region)
 	s.hosts = append(s.hosts, m.Host)
 	s.nodes[m.Host] = n
-	s.list = append(s.list, platform.Host{
-		ID: m.Host, Kind: platform.HostRouter, Region: m.Region, DataCentre: m.DataCentre,
+	s.list = append(s.list, objectapi.Host{
+		ID: m.Host, Kind: objectapi.HostRouter, Region: m.Region, DataCentre: m.DataCentre,
 		Address: m.Address, PeerAddress: m.PeerAddress, AdminAddress: m.AdminAddress,
 	})
 }
--- a/capacity/lists.go
+++ b/capacity/lists.go
@@ -9,7 +9,7 @@
 	"github.com/lacewingshift/lacewingshift/cell"
 	"github.com/lacewingshift/lacewingshift/config"
 	"github.com/lacewingshift/lacewingshift/dispatch"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 const (
@@ -111,7 +111,7 @@
 		Nodes:         t.Nodes,
 		HostListBytes: float64(len(body)),
 		DecodeSeconds: cpuPer(cpuSample, func() {
-			var list []platform.Host
+			var list []objectapi.Host
 			_ = json.Unmarshal(body, &list)
 		}),
 		StepSeconds: cpuPer(cpuSample, func() {
@@ -127,12 +127,12 @@
 }
 
 // buildHosts returns the host list: all routers and runners.
-func buildHosts(t Target) []platform.Host {
-	var hosts []platform.Host
+func buildHosts(t Target) []objectapi.Host {
+	var hosts []objectapi.Host
 	for i := range t.Nodes {
 		m := memberOf(i, t)
-		hosts = append(hosts, platform.Host{
-			ID: m.Host, Kind: platform.HostRouter, Region: m.Region, DataCentre: m.DataCentre,
+		hosts = append(hosts, objectapi.Host{
+			ID: m.Host, Kind: objectapi.HostRouter, Region: m.Region, DataCentre: m.DataCentre,
 			Address: m.Address, PeerAddress: m.PeerAddress, AdminAddress: m.AdminAddress,
 		})
 	}
@@ -140,16 +140,16 @@
 }
 
 // buildRunners spreads the runners over data centres and models.
-func buildRunners(t Target) []platform.Host {
-	var hosts []platform.Host
+func buildRunners(t Target) []objectapi.Host {
+	var hosts []objectapi.Host
 	for i := range t.Runners {
 		centre := i % t.DataCentres
 		region := regionName(centre % t.Regions)
-		hosts = append(hosts, platform.Host{
-			ID: fmt.Sprintf("%s-e%d", region, i+1), Kind: platform.HostUpstream, Region: region,
+		hosts = append(hosts, objectapi.Host{
+			ID: fmt.Sprintf("%s-e%d", region, i+1), Kind: objectapi.HostUpstream, Region: region,
 			DataCentre: fmt.Sprintf("%s-%d", region, centre),
 			Address:    fmt.Sprintf("10.%d.%d.%d:8000", 100+centre, i/250, i%250+1),
-			Service:    modelName((i / t.DataCentres) % t.Models), ServiceKind: platform.ServiceEngine, Slots: runnerSlots,
+			Service:    modelName((i / t.DataCentres) % t.Models), ServiceKind: objectapi.ServiceEngine, Slots: runnerSlots,
 			ChecksFencing: i%2 == 0,
 		})
 	}
--- a/capacity/records.go
+++ b/capacity/records.go
@@ -13,7 +13,7 @@
 
 	"github.com/lacewingshift/lacewingshift/event"
 	"github.com/lacewingshift/lacewingshift/intent"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Records is one measurement of the at-most-once records.
@@ -38,37 +38,37 @@
 // memoryObjects is an object API in memory that counts calls and bytes.
 type memoryObjects struct {
 	mu            sync.Mutex
-	objects       map[string]platform.Object
+	objects       map[string]objectapi.Object
 	reads, writes atomic.Int64
 }
 
-// Get implements platform.Objects.
-func (m *memoryObjects) Get(_ context.Context, name string) (platform.Object, error) {
+// Get implements objectapi.Objects.
+func (m *memoryObjects) Get(_ context.Context, name string) (objectapi.Object, error) {
 	m.reads.Add(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if o, ok := m.objects[name]; ok {
 		return o, nil
 	}
-	return platform.Object{}, platform.ErrNotFound
+	return objectapi.Object{}, objectapi.ErrNotFound
 }
 
-// Put implements platform.Objects.
-func (m *memoryObjects) Put(_ context.Context, name string, value []byte, ifVersion int64) (platform.Object, error) {
+// Put implements objectapi.Objects.
+func (m *memoryObjects) Put(_ context.Context, name string, value []byte, ifVersion int64) (objectapi.Object, error) {
 	m.writes.Add(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects[name].Version != ifVersion {
-		return platform.Object{}, platform.ErrConflict
+		return objectapi.Object{}, objectapi.ErrConflict
 	}
-	o := platform.Object{Name: name, Version: ifVersion + 1, Value: value}
+	o := objectapi.Object{Name: name, Version: ifVersion + 1, Value: value}
 	m.objects[name] = o
 	return o, nil
 }
 
-// Watch implements platform.Objects. Records are not watched.
-func (m *memoryObjects) Watch(context.Context, string, int64) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+// Watch implements objectapi.Objects. Records are not watched.
+func (m *memoryObjects) Watch(context.Context, string, int64) (objectapi.Object, error) {
+	return objectapi.Object{}, objectapi.ErrUnavailable
 }
 
 func (m *memoryObjects) bytes() float64 {
@@ -84,7 +84,7 @@
 // MeasureRecords ends a number of keyed calls. Error: ErrMeasure.
 func MeasureRecords(calls int) (Records, error) {
 	r := Records{Calls: calls}
-	objects := &memoryObjects{objects: map[string]platform.Object{}}
+	objects := &memoryObjects{objects: map[string]objectapi.Object{}}
 	before := cpuTime()
 	if err := runCalls(objects, "a", calls, intent.DefaultKeepOutcome); err != nil {
 		return r, err
@@ -101,7 +101,7 @@
 	return r, nil
 }
 
-func runCalls(objects platform.Objects, prefix string, calls int, keep time.Duration) error {
+func runCalls(objects objectapi.Objects, prefix string, calls int, keep time.Duration) error {
 	store := intent.NewStore(objects, intent.Options{
 		Host: "region0-r1", Incarnation: 1, KeepOutcome: keep,
 		WriteInterval: time.Millisecond, FinishDelay: time.Millisecond, WriteBudget: 1e6,
--- a/cell/baseline.go
+++ b/cell/baseline.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/dispatch"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
 
@@ -94,7 +94,7 @@
 func (q *localQueue) configure(service string, v View) {
 	upstreams := map[string]dispatch.Upstream{}
 	for _, h := range v.Upstreams {
-		if h.Service == service && (h.Kind == "" || h.Kind == platform.HostUpstream) {
+		if h.Service == service && (h.Kind == "" || h.Kind == objectapi.HostUpstream) {
 			upstreams[h.ID] = dispatch.Upstream{ID: h.ID, Slots: h.Slots, Leaving: h.Leaving}
 		}
 	}
--- a/cell/baseline_test.go
+++ b/cell/baseline_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/dispatch"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
 
@@ -21,9 +21,9 @@
 	n := NewNode(Config{Host: "r1", Region: "upstate", Incarnation: "a", Policy: policy})
 	n.Step(now, ViewChanged{View{
 		Routers: []Router{{Host: "r1", Region: "upstate"}, {Host: "r2", Region: "upstate"}, {Host: "r3", Region: "lowcountry"}},
-		Upstreams: []platform.Host{
-			{ID: "u1", Kind: platform.HostUpstream, Region: "upstate", Service: "s", Slots: 2},
-			{ID: "u2", Kind: platform.HostUpstream, Region: "midlands", Service: "s", Slots: 2},
+		Upstreams: []objectapi.Host{
+			{ID: "u1", Kind: objectapi.HostUpstream, Region: "upstate", Service: "s", Slots: 2},
+			{ID: "u2", Kind: objectapi.HostUpstream, Region: "midlands", Service: "s", Slots: 2},
 		},
 		Limits: map[string]map[string]dispatch.Limits{"s": {"w1": {Weight: 1}, "w2": {Weight: 1}}},
 	}})
--- a/cell/cell.go
+++ b/cell/cell.go
@@ -11,7 +11,7 @@
 
 	"github.com/lacewingshift/lacewingshift/dispatch"
 	"github.com/lacewingshift/lacewingshift/event"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
 
@@ -43,7 +43,7 @@
 type View struct {
 	// Routers are the live routers of all regions, this one included.
 	Routers   []Router
-	Upstreams []platform.Host
+	Upstreams []objectapi.Host
 	// Limits maps service to workspace to plan limits.
 	Limits map[string]map[string]dispatch.Limits
 }
--- a/cell/fuzz_test.go
+++ b/cell/fuzz_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/dispatch"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
 
@@ -44,7 +44,7 @@
 func fuzzView() View {
 	return View{
 		Routers:   []Router{{Host: "r1", Region: "upstate"}, {Host: "r2", Region: "upstate"}},
-		Upstreams: []platform.Host{{ID: "u1", Kind: platform.HostUpstream, Region: "upstate", Service: "s", Slots: 1}},
+		Upstreams: []objectapi.Host{{ID: "u1", Kind: objectapi.HostUpstream, Region: "upstate", Service: "s", Slots: 1}},
 		Limits:    map[string]map[string]dispatch.Limits{"s": {"w": {Weight: 1}}},
 	}
 }
--- a/cell/layout.go
+++ b/cell/layout.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // place is one cell as the view defines it. All routers with the same view
@@ -17,7 +17,7 @@
 	name      string
 	service   string
 	region    string
-	upstreams []platform.Host
+	upstreams []objectapi.Host
 	// rank lists the routers that may hold the cell, the rightful holder first.
 	rank []string
 }
@@ -39,7 +39,7 @@
 
 // takesWork tells whether any upstream of the cell takes new work.
 func (p *place) takesWork() bool {
-	return slices.ContainsFunc(p.upstreams, func(u platform.Host) bool { return !u.Leaving && u.Slots > 0 })
+	return slices.ContainsFunc(p.upstreams, func(u objectapi.Host) bool { return !u.Leaving && u.Slots > 0 })
 }
 
 type group struct{ service, region string }
@@ -86,17 +86,17 @@
 	return staying
 }
 
-func upstreamsByGroup(hosts []platform.Host) map[group][]platform.Host {
-	groups := map[group][]platform.Host{}
+func upstreamsByGroup(hosts []objectapi.Host) map[group][]objectapi.Host {
+	groups := map[group][]objectapi.Host{}
 	for _, h := range hosts {
-		if h.Kind != "" && h.Kind != platform.HostUpstream {
+		if h.Kind != "" && h.Kind != objectapi.HostUpstream {
 			continue
 		}
 		g := group{h.Service, h.Region}
 		groups[g] = append(groups[g], h)
 	}
 	for _, g := range groups {
-		slices.SortFunc(g, func(a, b platform.Host) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(g, func(a, b objectapi.Host) int { return cmp.Compare(a.ID, b.ID) })
 	}
 	return groups
 }
@@ -116,7 +116,7 @@
 
 // addGroup splits the upstreams of one service in one region into cells. A group
 // without upstreams has one cell, which lends all its tickets.
-func (l *layout) addGroup(g group, upstreams []platform.Host, maxUpstreams int, routers []string) {
+func (l *layout) addGroup(g group, upstreams []objectapi.Host, maxUpstreams int, routers []string) {
 	count := max(1, (len(upstreams)+maxUpstreams-1)/maxUpstreams)
 	cells := make([]*place, count)
 	for i := range cells {
--- a/cell/node_test.go
+++ b/cell/node_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/dispatch"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
 
@@ -17,7 +17,7 @@
 	n := NewNode(Config{Host: "r1", Region: "upstate", Incarnation: "a", Policy: dispatch.DefaultPolicy()})
 	n.Step(now, ViewChanged{View{
 		Routers:   []Router{{Host: "r1", Region: "upstate"}},
-		Upstreams: []platform.Host{{ID: "u1", Kind: platform.HostUpstream, Region: "upstate", Service: "s", Slots: 1}},
+		Upstreams: []objectapi.Host{{ID: "u1", Kind: objectapi.HostUpstream, Region: "upstate", Service: "s", Slots: 1}},
 		Limits:    map[string]map[string]dispatch.Limits{"s": {"w": {Weight: 1}}},
 	}})
 	out := n.Step(now, Submit{ticket.Ticket{ID: "t1", Workspace: "w", Service: "s"}})
--- a/cell/sim_test.go
+++ b/cell/sim_test.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lacewingshift/lacewingshift/dispatch"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
 
@@ -37,7 +37,7 @@
 	order   uint64
 	hosts   []string
 	nodes   map[string]*simNode
-	ups     []platform.Host
+	ups     []objectapi.Host
 	running map[string]map[string]bool // upstream to ids
 	limits  map[string]map[string]dispatch.Limits
 	jobs    map[string]*simJob
@@ -134,8 +134,8 @@
 		for i := range upstreams[region] {
 			id := fmt.Sprintf("u%d-%d", region, i)
 			w.running[id] = map[string]bool{}
-			w.ups = append(w.ups, platform.Host{
-				ID: id, Kind: platform.HostUpstream, Region: fmt.Sprint("region", region), Service: "s", Slots: slots,
+			w.ups = append(w.ups, objectapi.Host{
+				ID: id, Kind: objectapi.HostUpstream, Region: fmt.Sprint("region", region), Service: "s", Slots: slots,
 			})
 		}
 	}
@@ -369,7 +369,7 @@
 }
 
 func (w *world) checkLimit(upstream string) {
-	slots := w.ups[slices.IndexFunc(w.ups, func(h platform.Host) bool { return h.ID == upstream })].Slots
+	slots := w.ups[slices.IndexFunc(w.ups, func(h objectapi.Host) bool { return h.ID == upstream })].Slots
 	over := len(w.running[upstream]) - slots
 	w.over = max(w.over, over)
 	if over > slots {
--- a/cmd/lacewing-fake/commands.go
+++ b/cmd/lacewing-fake/commands.go
@@ -11,7 +11,7 @@
 
 	"github.com/lacewingshift/lacewingshift/fake"
 	"github.com/lacewingshift/lacewingshift/fake/deployment"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 type platformCommand struct{ config string }
@@ -29,7 +29,7 @@
 	if err := readSettings(c.config, &settings); err != nil {
 		return exit(err)
 	}
-	var hosts []platform.Host
+	var hosts []objectapi.Host
 	if err := readSettings(settings.HostsFile, &hosts); err != nil {
 		return exit(err)
 	}
--- a/config/parse.go
+++ b/config/parse.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingshift/lacewingshift/config/strictjson"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // ErrInvalid is matched by every *InvalidError.
@@ -46,7 +46,7 @@
 
 // Parse reads and validates both lists. Error: *InvalidError.
 func Parse(data []byte) (Lists, error) {
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > objectapi.MaxValueBytes {
 		return Lists{}, &InvalidError{[]Fault{{Line: 1, Message: tooLarge(len(data))}}}
 	}
 	var lists Lists
@@ -72,7 +72,7 @@
 }
 
 func tooLarge(size int) string {
-	return fmt.Sprintf("%d bytes are more than the %d that the object API stores", size, platform.MaxValueBytes)
+	return fmt.Sprintf("%d bytes are more than the %d that the object API stores", size, objectapi.MaxValueBytes)
 }
 
 // normalise lowers the hashes, so that they compare byte by byte.
--- a/config/store.go
+++ b/config/store.go
@@ -9,8 +9,8 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/pause"
-	"github.com/lacewingshift/lacewingshift/platform"
 )
 
 // ObjectName is the object that holds both lists.
@@ -51,7 +51,7 @@
 
 // Store keeps the lists in the object API. It is safe for concurrent use.
 type Store struct {
-	objects platform.Objects
+	objects objectapi.Objects
 	now     func() time.Time
 	sleep   func(context.Context, time.Duration) error
 	applied func(PlatformRead)
@@ -59,7 +59,7 @@
 
 // NewStore returns a store over objects; now stamps the change log, nil means
 // time.Now.
-func NewStore(objects platform.Objects, now func() time.Time) *Store {
+func NewStore(objects objectapi.Objects, now func() time.Time) *Store {
 	if now == nil {
 		now = time.Now
 	}
@@ -83,13 +83,13 @@
 }
 
 // read returns the object, with version zero when there is none yet.
-func (s *Store) read(ctx context.Context) (platform.Object, error) {
+func (s *Store) read(ctx context.Context) (objectapi.Object, error) {
 	object, err := s.objects.Get(ctx, ObjectName)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Object{Name: ObjectName}, nil
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return objectapi.Object{Name: ObjectName}, nil
 	}
 	if err != nil {
-		return platform.Object{}, unavailable(err)
+		return objectapi.Object{}, unavailable(err)
 	}
 	return object, nil
 }
@@ -138,7 +138,7 @@
 
 // changesOf returns the change log of a stored object. An unreadable object has
 // none, so that it can be replaced.
-func changesOf(object platform.Object) []Change {
+func changesOf(object objectapi.Object) []Change {
 	lists, err := Parse(object.Value)
 	if err != nil {
 		return nil
@@ -153,7 +153,7 @@
 
 // keep stores a version before it is replaced. The change goes on when that
 // fails, because a lost old version harms less than a refused change.
-func (s *Store) keep(ctx context.Context, old platform.Object) {
+func (s *Store) keep(ctx context.Context, old objectapi.Object) {
 	if old.Version == 0 {
 		return
 	}
@@ -192,9 +192,9 @@
 // conflict is not one of them, because an earlier attempt may be its cause.
 func refusal(err error) error {
 	switch {
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectapi.ErrTooLarge):
 		return fmt.Errorf("%w: %w", ErrTooLarge, err)
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, objectapi.ErrUnavailable), errors.Is(err, objectapi.ErrRateLimited):
 		return unavailable(err)
 	}
 	return nil
@@ -233,7 +233,7 @@
 		return Parse(current.Value)
 	}
 	object, err := s.objects.Get(ctx, historyName(version))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return Lists{}, ErrNoVersion
 	}
 	if err != nil {
--- a/config/store_test.go
+++ b/config/store_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // fakeObjects answers each Put of the lists as the next fault of the script says.
@@ -31,41 +31,41 @@
 
 func newFakeObjects() *fakeObjects { return &fakeObjects{versions: map[string][][]byte{}} }
 
-func (o *fakeObjects) Get(_ context.Context, name string) (platform.Object, error) {
+func (o *fakeObjects) Get(_ context.Context, name string) (objectapi.Object, error) {
 	if o.failGets > 0 {
 		o.failGets--
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	versions := o.versions[name]
 	if len(versions) == 0 {
-		return platform.Object{}, platform.ErrNotFound
+		return objectapi.Object{}, objectapi.ErrNotFound
 	}
-	return platform.Object{Name: name, Version: int64(len(versions)), Value: versions[len(versions)-1]}, nil
+	return objectapi.Object{Name: name, Version: int64(len(versions)), Value: versions[len(versions)-1]}, nil
 }
 
-func (o *fakeObjects) Put(_ context.Context, name string, value []byte, ifVersion int64) (platform.Object, error) {
+func (o *fakeObjects) Put(_ context.Context, name string, value []byte, ifVersion int64) (objectapi.Object, error) {
 	next := none
 	if name == ObjectName && len(o.script) > 0 {
 		next, o.script = o.script[0], o.script[1:]
 	}
 	switch next {
 	case refused:
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	case lostUnsent:
 		o.callOnPut()
-		return platform.Object{}, platform.ErrOutcomeUnknown
+		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
 	}
 	if int64(len(o.versions[name])) != ifVersion {
-		return platform.Object{}, platform.ErrConflict
+		return objectapi.Object{}, objectapi.ErrConflict
 	}
 	o.versions[name] = append(o.versions[name], value)
 	if name == ObjectName {
 		o.callOnPut()
 	}
 	if next == lostWritten {
-		return platform.Object{}, platform.ErrOutcomeUnknown
+		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
 	}
-	return platform.Object{Name: name, Version: ifVersion + 1, Value: value}, nil
+	return objectapi.Object{Name: name, Version: ifVersion + 1, Value: value}, nil
 }
 
 // callOnPut lets something happen once, after a write and before its answer.
@@ -76,8 +76,8 @@
 	}
 }
 
-func (o *fakeObjects) Watch(context.Context, string, int64) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+func (o *fakeObjects) Watch(context.Context, string, int64) (objectapi.Object, error) {
+	return objectapi.Object{}, objectapi.ErrUnavailable
 }
 
 // Guards against a lost race that is reported as a success or without the
--- a/entry/completion.go
+++ b/entry/completion.go
@@ -12,7 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lacewingshift/lacewingshift/config"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/reply"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
@@ -110,7 +110,7 @@
 	if e := h.admitService(&a, plan, fields.Model); e != nil {
 		return nil, e
 	}
-	if kind, _ := h.Directory.ServiceKind(fields.Model); kind != platform.ServiceEngine {
+	if kind, _ := h.Directory.ServiceKind(fields.Model); kind != objectapi.ServiceEngine {
 		return nil, refuse(http.StatusBadRequest, CodeWrongProtocol,
 			fmt.Sprintf("%q is a plain service, use /v1/services/%s/", fields.Model, fields.Model))
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -16,7 +16,7 @@
 	"github.com/lacewingshift/lacewingshift/dispatch"
 	"github.com/lacewingshift/lacewingshift/event"
 	"github.com/lacewingshift/lacewingshift/intent"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/reply"
 	"github.com/lacewingshift/lacewingshift/ticket"
 	"github.com/lacewingshift/lacewingshift/upstream"
@@ -42,7 +42,7 @@
 type Decision struct {
 	// Granted admits the ticket to Upstream.
 	Granted  bool
-	Upstream platform.Host
+	Upstream objectapi.Host
 	// Refused ends the ticket, which has not run.
 	Refused    bool
 	Reason     ticket.RefusalReason
@@ -72,7 +72,7 @@
 	Ready() *Error
 	Lookup(key string) (config.Workspace, config.Plan, bool)
 	// ServiceKind tells what kind of service name is, false when unknown.
-	ServiceKind(name string) (platform.ServiceKind, bool)
+	ServiceKind(name string) (objectapi.ServiceKind, bool)
 	// Entries lists the routers that callers may use, nearest to region first.
 	Entries(region string) []Address
 }
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -14,7 +14,7 @@
 	"github.com/lacewingshift/lacewingshift/config"
 	"github.com/lacewingshift/lacewingshift/dispatch"
 	"github.com/lacewingshift/lacewingshift/intent"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/ticket"
 	"github.com/lacewingshift/lacewingshift/upstream"
 )
@@ -76,7 +76,7 @@
 	if e := h.admitService(&a, plan, service); e != nil {
 		return nil, e
 	}
-	if kind, _ := h.Directory.ServiceKind(service); kind != platform.ServicePlain {
+	if kind, _ := h.Directory.ServiceKind(service); kind != objectapi.ServicePlain {
 		return nil, refuse(http.StatusBadRequest, CodeWrongProtocol,
 			fmt.Sprintf("%q is a model engine, use /v1/completions", service))
 	}
@@ -161,7 +161,7 @@
 // runOnce runs the call on one upstream. The call goes on when the caller
 // leaves, so that its outcome can be recorded. It reports whether another
 // attempt is allowed after an error.
-func (c *plainCall) runOnce(host platform.Host) (upstream.PlainAnswer, *Error, bool) {
+func (c *plainCall) runOnce(host objectapi.Host) (upstream.PlainAnswer, *Error, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), plainTimeout)
 	defer cancel()
 	c.call.Address = host.Address
--- a/entry/run.go
+++ b/entry/run.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingshift/lacewingshift/dispatch"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/reply"
 	"github.com/lacewingshift/lacewingshift/ticket"
 	"github.com/lacewingshift/lacewingshift/upstream"
@@ -131,7 +131,7 @@
 	return fmt.Sprintf("%s.%d.%s", c.admitted.id, c.runs, uuid.NewString())
 }
 
-func (c *completion) publishRun(runID string, host platform.Host) {
+func (c *completion) publishRun(runID string, host objectapi.Host) {
 	h := c.handler
 	waited := time.Since(c.admitted.arrived)
 	h.record("granted", c.admitted, host.ID, fmt.Sprintf("waited %d ms", waited.Milliseconds()))
@@ -180,7 +180,7 @@
 }
 
 // settle accounts for a run that ended and decides whether another one follows.
-func (c *completion) settle(run upstream.Run, host platform.Host, m *meter, err error) (bool, error) {
+func (c *completion) settle(run upstream.Run, host objectapi.Host, m *meter, err error) (bool, error) {
 	h := c.handler
 	c.ticket.Done = c.ticket.Done.Add(m.used)
 	switch {
--- a/entry/stub_test.go
+++ b/entry/stub_test.go
@@ -20,7 +20,7 @@
 	"github.com/lacewingshift/lacewingshift/event"
 	"github.com/lacewingshift/lacewingshift/fake"
 	"github.com/lacewingshift/lacewingshift/intent"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/reply"
 	"github.com/lacewingshift/lacewingshift/ticket"
 	"github.com/lacewingshift/lacewingshift/upstream"
@@ -29,7 +29,7 @@
 // stubDirectory serves fixed lists and hosts.
 type stubDirectory struct {
 	lists config.Lists
-	hosts []platform.Host
+	hosts []objectapi.Host
 	down  *Error
 }
 
@@ -39,7 +39,7 @@
 	return d.lists.Lookup(key)
 }
 
-func (d *stubDirectory) ServiceKind(name string) (platform.ServiceKind, bool) {
+func (d *stubDirectory) ServiceKind(name string) (objectapi.ServiceKind, bool) {
 	for _, h := range d.hosts {
 		if h.Service == name {
 			return h.ServiceKind, true
@@ -53,7 +53,7 @@
 // stubScheduler grants each ticket at once, to the upstreams of its service in
 // turn, and can be told to stop a run.
 type stubScheduler struct {
-	hosts []platform.Host
+	hosts []objectapi.Host
 	// refuseFrom is the number of the submission from which all are refused, zero
 	// for never.
 	refuseFrom int
@@ -68,7 +68,7 @@
 func (s *stubScheduler) Submit(t ticket.Ticket) <-chan Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var of []platform.Host
+	var of []objectapi.Host
 	for _, h := range s.hosts {
 		if h.Service == t.Service {
 			of = append(of, h)
@@ -132,18 +132,18 @@
 
 func newBench(t *testing.T) *bench {
 	b := &bench{t: t, objects: fake.NewObjects(1)}
-	var hosts []platform.Host
+	var hosts []objectapi.Host
 	for _, id := range []string{"e1", "e2"} {
 		engine := fake.NewEngine(fake.EngineSettings{ID: id, Slots: 4, BaseTokenMillis: 0.1, NominalTokenMillis: 0.1, PromptTokenMillis: 0.01})
 		b.engines = append(b.engines, engine)
-		hosts = append(hosts, b.host(id, engineName, platform.ServiceEngine, engine))
+		hosts = append(hosts, b.host(id, engineName, objectapi.ServiceEngine, engine))
 	}
 	for _, id := range []string{"p1", "p2"} {
 		plain := fake.NewPlain(fake.PlainSettings{ID: id, Slots: 4, ServiceMillis: 0.1})
 		b.plains = append(b.plains, plain)
-		hosts = append(hosts, b.host(id, plainName, platform.ServicePlain, plain))
+		hosts = append(hosts, b.host(id, plainName, objectapi.ServicePlain, plain))
 	}
-	hosts = append(hosts, platform.Host{ID: "x", Service: "unplanned", ServiceKind: platform.ServicePlain})
+	hosts = append(hosts, objectapi.Host{ID: "x", Service: "unplanned", ServiceKind: objectapi.ServicePlain})
 	b.directory = &stubDirectory{hosts: hosts, lists: config.Lists{
 		Workspaces: []config.Workspace{
 			{Name: "clerks", Plan: "small", KeysSHA256: []string{hashOf(testKey)}},
@@ -173,11 +173,11 @@
 	})
 }
 
-func (b *bench) host(id, service string, kind platform.ServiceKind, handler http.Handler) platform.Host {
+func (b *bench) host(id, service string, kind objectapi.ServiceKind, handler http.Handler) objectapi.Host {
 	server := httptest.NewServer(handler)
 	b.t.Cleanup(server.Close)
-	return platform.Host{
-		ID: id, Kind: platform.HostUpstream, Service: service, ServiceKind: kind,
+	return objectapi.Host{
+		ID: id, Kind: objectapi.HostUpstream, Service: service, ServiceKind: kind,
 		Address: strings.TrimPrefix(server.URL, "http://"), Slots: 4,
 	}
 }
--- a/fake/deployment/deployment_test.go
+++ b/fake/deployment/deployment_test.go
@@ -11,7 +11,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/settings"
 )
 
@@ -24,14 +24,14 @@
 		require.NoError(t, err)
 		require.NoError(t, plan.Write(dir))
 
-		var hosts []platform.Host
+		var hosts []objectapi.Host
 		read(t, dir, "hosts.json", &hosts)
 		require.Len(t, hosts, 8+12+3)
 		addresses := map[string]bool{}
 		for _, host := range hosts {
 			require.False(t, addresses[host.Address], "address %s is used twice", host.Address)
 			addresses[host.Address] = true
-			if host.Kind == platform.HostRouter {
+			if host.Kind == objectapi.HostRouter {
 				checkRouter(t, dir, host)
 			}
 		}
@@ -41,7 +41,7 @@
 	require.True(t, eris.Is(err, ErrUnknownName))
 }
 
-func checkRouter(t *testing.T, dir string, host platform.Host) {
+func checkRouter(t *testing.T, dir string, host objectapi.Host) {
 	t.Helper()
 	var settings settings.Settings
 	read(t, dir, "router-"+host.ID+".json", &settings)
--- a/fake/deployment/plan.go
+++ b/fake/deployment/plan.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingshift/lacewingshift/fake"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Errors of Find.
@@ -212,31 +212,31 @@
 func dataCentre(region string) string { return region + "-1" }
 
 // hosts returns the host list.
-func (p Plan) hosts() []platform.Host {
-	var hosts []platform.Host
+func (p Plan) hosts() []objectapi.Host {
+	var hosts []objectapi.Host
 	for _, m := range p.routers() {
-		hosts = append(hosts, platform.Host{
-			ID: m.id, Kind: platform.HostRouter, Region: m.region, DataCentre: dataCentre(m.region),
+		hosts = append(hosts, objectapi.Host{
+			ID: m.id, Kind: objectapi.HostRouter, Region: m.region, DataCentre: dataCentre(m.region),
 			Address:      p.public(m, callerPort),
 			PeerAddress:  p.public(m, peerPort),
 			AdminAddress: p.public(m, adminPort),
 		})
 	}
 	for _, m := range p.engines() {
-		hosts = append(hosts, p.upstream(m, p.Engine, platform.ServiceEngine, engineSlots))
+		hosts = append(hosts, p.upstream(m, p.Engine, objectapi.ServiceEngine, engineSlots))
 	}
 	for _, m := range p.plains() {
-		hosts = append(hosts, p.upstream(m, p.Plain, platform.ServicePlain, plainSlots))
+		hosts = append(hosts, p.upstream(m, p.Plain, objectapi.ServicePlain, plainSlots))
 	}
 	return hosts
 }
 
-func (p Plan) upstream(m machine, service string, kind platform.ServiceKind, slots int) platform.Host {
-	return platform.Host{
-		ID: m.id, Kind: platform.HostUpstream, Region: m.region, DataCentre: dataCentre(m.region),
+func (p Plan) upstream(m machine, service string, kind objectapi.ServiceKind, slots int) objectapi.Host {
+	return objectapi.Host{
+		ID: m.id, Kind: objectapi.HostUpstream, Region: m.region, DataCentre: dataCentre(m.region),
 		Address: p.public(m, upstreamPort),
 		Service: service, ServiceKind: kind, Slots: slots,
-		ChecksFencing: kind == platform.ServiceEngine && checksFencing(m),
+		ChecksFencing: kind == objectapi.ServiceEngine && checksFencing(m),
 	}
 }
 
--- a/fake/hosts.go
+++ b/fake/hosts.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Hosts is a stand-in for the host list. Readers see each change only after a
@@ -26,12 +26,12 @@
 
 type hostVersion struct {
 	at    time.Time
-	hosts []platform.Host
+	hosts []objectapi.Host
 }
 
 // NewHosts returns a list that shows initial at once and later changes after
 // lag.
-func NewHosts(initial []platform.Host, lag time.Duration) *Hosts {
+func NewHosts(initial []objectapi.Host, lag time.Duration) *Hosts {
 	h := &Hosts{mux: http.NewServeMux(), lag: lag}
 	h.versions = []hostVersion{{hosts: slices.Clone(initial)}}
 	h.mux.HandleFunc("GET /v1/hosts", h.serveHosts)
@@ -46,7 +46,7 @@
 }
 
 // Visible returns the list as readers see it at now.
-func (h *Hosts) Visible(now time.Time) []platform.Host {
+func (h *Hosts) Visible(now time.Time) []objectapi.Host {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := now.Add(-h.lag)
@@ -82,7 +82,7 @@
 // HostsChange is the body of POST /control.
 type HostsChange struct {
 	// Add inserts hosts, or replaces those with the same id.
-	Add []platform.Host `json:"add"`
+	Add []objectapi.Host `json:"add"`
 	// Remove and Leaving name hosts by id.
 	Remove  []string `json:"remove"`
 	Leaving []string `json:"leaving"`
@@ -105,12 +105,12 @@
 	h.versions = append(h.versions, hostVersion{at: now, hosts: hosts})
 }
 
-func withChange(hosts []platform.Host, change HostsChange) []platform.Host {
+func withChange(hosts []objectapi.Host, change HostsChange) []objectapi.Host {
 	replaced := slices.Clone(change.Remove)
 	for _, host := range change.Add {
 		replaced = append(replaced, host.ID)
 	}
-	kept := []platform.Host{}
+	kept := []objectapi.Host{}
 	for _, host := range hosts {
 		if !slices.Contains(replaced, host.ID) {
 			kept = append(kept, host)
--- a/fake/objects.go
+++ b/fake/objects.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Defaults of the object API stand-in.
@@ -23,7 +23,7 @@
 )
 
 // Objects is an in-memory stand-in for the object API. It implements
-// platform.Objects for tests and http.Handler for other processes.
+// objectapi.Objects for tests and http.Handler for other processes.
 type Objects struct {
 	mu       sync.Mutex
 	stored   map[string]*storedObject
@@ -37,11 +37,11 @@
 
 // storedObject keeps the previous state of an object for stale reads.
 type storedObject struct {
-	current  platform.Object
-	previous platform.Object
+	current  objectapi.Object
+	previous objectapi.Object
 }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ objectapi.Objects = (*Objects)(nil)
 
 // NewObjects returns an empty object API with the default rate limits; seed
 // determines which calls the faults hit.
@@ -56,20 +56,20 @@
 	return o
 }
 
-// Get implements platform.Objects.
-func (o *Objects) Get(ctx context.Context, name string) (platform.Object, error) {
-	return o.call(ctx, platform.ErrUnavailable, func() (platform.Object, error) { return o.read(name) })
+// Get implements objectapi.Objects.
+func (o *Objects) Get(ctx context.Context, name string) (objectapi.Object, error) {
+	return o.call(ctx, objectapi.ErrUnavailable, func() (objectapi.Object, error) { return o.read(name) })
 }
 
-// Put implements platform.Objects. A write whose caller gave up still takes
+// Put implements objectapi.Objects. A write whose caller gave up still takes
 // effect, as it does across a network.
-func (o *Objects) Put(ctx context.Context, name string, value []byte, ifVersion int64) (platform.Object, error) {
+func (o *Objects) Put(ctx context.Context, name string, value []byte, ifVersion int64) (objectapi.Object, error) {
 	value = bytes.Clone(value)
-	return o.call(ctx, platform.ErrOutcomeUnknown, func() (platform.Object, error) { return o.write(name, value, ifVersion) })
+	return o.call(ctx, objectapi.ErrOutcomeUnknown, func() (objectapi.Object, error) { return o.write(name, value, ifVersion) })
 }
 
-// Watch implements platform.Objects.
-func (o *Objects) Watch(ctx context.Context, name string, after int64) (platform.Object, error) {
+// Watch implements objectapi.Objects.
+func (o *Objects) Watch(ctx context.Context, name string, after int64) (objectapi.Object, error) {
 	for {
 		found, ok, err := o.poll(ctx, name, after)
 		if ok || err != nil {
@@ -79,16 +79,16 @@
 }
 
 // call runs serve with the added latency on both sides of it.
-func (o *Objects) call(ctx context.Context, onTimeout error, serve func() (platform.Object, error)) (platform.Object, error) {
+func (o *Objects) call(ctx context.Context, onTimeout error, serve func() (objectapi.Object, error)) (objectapi.Object, error) {
 	if ctx.Err() != nil {
-		return platform.Object{}, eris.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+		return objectapi.Object{}, eris.Wrap(objectapi.ErrUnavailable, ctx.Err().Error())
 	}
 	latency := o.latency()
 	if latency == 0 {
 		return serve()
 	}
 	type result struct {
-		object platform.Object
+		object objectapi.Object
 		err    error
 	}
 	done := make(chan result, 1)
@@ -102,16 +102,16 @@
 	case r := <-done:
 		return r.object, r.err
 	case <-ctx.Done():
-		return platform.Object{}, eris.Wrap(onTimeout, ctx.Err().Error())
+		return objectapi.Object{}, eris.Wrap(onTimeout, ctx.Err().Error())
 	}
 }
 
-func (o *Objects) read(name string) (platform.Object, error) {
+func (o *Objects) read(name string) (objectapi.Object, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.counters.Reads++
 	if err := o.admit(o.reads); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	found, ok := o.stored[name]
 	if ok && o.hit(&o.faults.StaleNext, o.faults.StaleFraction) {
@@ -119,34 +119,34 @@
 		return staleObject(found.previous)
 	}
 	if !ok {
-		return platform.Object{}, eris.Wrapf(platform.ErrNotFound, "get %s", name)
+		return objectapi.Object{}, eris.Wrapf(objectapi.ErrNotFound, "get %s", name)
 	}
 	return clone(found.current), nil
 }
 
-func (o *Objects) write(name string, value []byte, ifVersion int64) (platform.Object, error) {
+func (o *Objects) write(name string, value []byte, ifVersion int64) (objectapi.Object, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.counters.Writes++
-	if len(value) > platform.MaxValueBytes {
-		return platform.Object{}, eris.Wrapf(platform.ErrTooLarge, "put %s with %d bytes", name, len(value))
+	if len(value) > objectapi.MaxValueBytes {
+		return objectapi.Object{}, eris.Wrapf(objectapi.ErrTooLarge, "put %s with %d bytes", name, len(value))
 	}
 	if err := o.admit(o.writes); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	if o.hit(&o.faults.DropNext, 0) {
 		o.counters.Dropped++
-		return platform.Object{}, eris.Wrap(platform.ErrOutcomeUnknown, "request lost")
+		return objectapi.Object{}, eris.Wrap(objectapi.ErrOutcomeUnknown, "request lost")
 	}
 	if o.hit(&o.faults.DelayNext, o.faults.DelayFraction) {
 		o.counters.Delayed++
 		o.writeLater(name, value, ifVersion)
-		return platform.Object{}, eris.Wrap(platform.ErrOutcomeUnknown, "connection broke")
+		return objectapi.Object{}, eris.Wrap(objectapi.ErrOutcomeUnknown, "connection broke")
 	}
 	written, err := o.store(name, value, ifVersion)
 	if err == nil && o.hit(&o.faults.LoseNext, o.faults.LoseFraction) {
 		o.counters.Lost++
-		return platform.Object{}, eris.Wrap(platform.ErrOutcomeUnknown, "reply lost")
+		return objectapi.Object{}, eris.Wrap(objectapi.ErrOutcomeUnknown, "reply lost")
 	}
 	return written, err
 }
@@ -162,17 +162,17 @@
 }
 
 // store applies a conditional update; the caller holds the mutex.
-func (o *Objects) store(name string, value []byte, ifVersion int64) (platform.Object, error) {
+func (o *Objects) store(name string, value []byte, ifVersion int64) (objectapi.Object, error) {
 	found, ok := o.stored[name]
 	if !ok {
 		found = &storedObject{}
 	}
 	if found.current.Version != ifVersion {
 		o.counters.Conflicts++
-		return platform.Object{}, eris.Wrapf(platform.ErrConflict, "put %s at version %d, have %d", name, ifVersion, found.current.Version)
+		return objectapi.Object{}, eris.Wrapf(objectapi.ErrConflict, "put %s at version %d, have %d", name, ifVersion, found.current.Version)
 	}
 	found.previous = found.current
-	found.current = platform.Object{Name: name, Version: ifVersion + 1, Value: value}
+	found.current = objectapi.Object{Name: name, Version: ifVersion + 1, Value: value}
 	o.stored[name] = found
 	o.counters.BytesWritten += int64(len(value))
 	o.wake()
@@ -180,9 +180,9 @@
 }
 
 // poll is one long poll of a watch; false means that the limit passed.
-func (o *Objects) poll(ctx context.Context, name string, after int64) (platform.Object, bool, error) {
+func (o *Objects) poll(ctx context.Context, name string, after int64) (objectapi.Object, bool, error) {
 	if err := o.startWatch(); err != nil {
-		return platform.Object{}, false, err
+		return objectapi.Object{}, false, err
 	}
 	defer o.endWatch()
 	limit := time.NewTimer(watchLimit)
@@ -195,28 +195,28 @@
 		select {
 		case <-changed:
 		case <-limit.C:
-			return platform.Object{}, false, nil
+			return objectapi.Object{}, false, nil
 		case <-ctx.Done():
-			return platform.Object{}, false, ctx.Err()
+			return objectapi.Object{}, false, ctx.Err()
 		}
 	}
 }
 
 // look returns the object when it is newer than after, or what to wait for.
-func (o *Objects) look(name string, after int64) (platform.Object, <-chan struct{}, error) {
+func (o *Objects) look(name string, after int64) (objectapi.Object, <-chan struct{}, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.faults.Outage {
-		return platform.Object{}, nil, eris.Wrap(platform.ErrUnavailable, "outage")
+		return objectapi.Object{}, nil, eris.Wrap(objectapi.ErrUnavailable, "outage")
 	}
 	found, ok := o.stored[name]
 	if !ok {
-		return platform.Object{}, nil, eris.Wrapf(platform.ErrNotFound, "watch %s", name)
+		return objectapi.Object{}, nil, eris.Wrapf(objectapi.ErrNotFound, "watch %s", name)
 	}
 	if found.current.Version > after {
 		return clone(found.current), nil, nil
 	}
-	return platform.Object{}, o.changed, nil
+	return objectapi.Object{}, o.changed, nil
 }
 
 func (o *Objects) startWatch() error {
@@ -241,7 +241,7 @@
 	o.changed = make(chan struct{})
 }
 
-func clone(object platform.Object) platform.Object {
+func clone(object objectapi.Object) objectapi.Object {
 	object.Value = bytes.Clone(object.Value)
 	return object
 }
--- a/fake/objects_control.go
+++ b/fake/objects_control.go
@@ -9,7 +9,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/time/rate"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // ObjectFaults are the injected faults and limits of the object API. Fractions
@@ -100,7 +100,7 @@
 func (o *Objects) admit(limiter *rate.Limiter) error {
 	if o.faults.Outage {
 		o.counters.Refused++
-		return eris.Wrap(platform.ErrUnavailable, "outage")
+		return eris.Wrap(objectapi.ErrUnavailable, "outage")
 	}
 	now := time.Now()
 	if limiter.AllowN(now, 1) {
@@ -109,7 +109,7 @@
 	o.counters.RateLimited++
 	missing := 1 - limiter.TokensAt(now)
 	wait := time.Duration(missing / float64(limiter.Limit()) * float64(time.Second))
-	return &platform.RateLimitError{RetryAfter: wait.Round(time.Microsecond)}
+	return &objectapi.RateLimitError{RetryAfter: wait.Round(time.Microsecond)}
 }
 
 // hit tells whether a fault applies to this call; the caller holds the mutex.
@@ -132,9 +132,9 @@
 	return latency
 }
 
-func staleObject(previous platform.Object) (platform.Object, error) {
+func staleObject(previous objectapi.Object) (objectapi.Object, error) {
 	if previous.Version == 0 {
-		return platform.Object{}, eris.Wrap(platform.ErrNotFound, "stale read")
+		return objectapi.Object{}, eris.Wrap(objectapi.ErrNotFound, "stale read")
 	}
 	return clone(previous), nil
 }
--- a/fake/objects_http.go
+++ b/fake/objects_http.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 const objectsPath = "/v1/objects/"
@@ -61,10 +61,10 @@
 		http.Error(w, "If-Match or If-None-Match is missing or invalid", http.StatusBadRequest)
 		return
 	}
-	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, platform.MaxValueBytes))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, objectapi.MaxValueBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		answerError(w, platform.ErrTooLarge)
+		answerError(w, objectapi.ErrTooLarge)
 		return
 	}
 	if err != nil {
@@ -75,7 +75,7 @@
 	time.Sleep(latency / 2)
 	written, err := o.write(name, value, ifVersion)
 	time.Sleep(latency - latency/2)
-	if errors.Is(err, platform.ErrOutcomeUnknown) {
+	if errors.Is(err, objectapi.ErrOutcomeUnknown) {
 		panic(http.ErrAbortHandler) // closes the connection without an answer
 	}
 	written.Value = nil
@@ -91,12 +91,12 @@
 	return version, err == nil && version > 0
 }
 
-func answerObject(w http.ResponseWriter, object platform.Object, err error) {
+func answerObject(w http.ResponseWriter, object objectapi.Object, err error) {
 	if err != nil {
 		answerError(w, err)
 		return
 	}
-	w.Header().Set("ETag", platform.FormatVersion(object.Version))
+	w.Header().Set("ETag", objectapi.FormatVersion(object.Version))
 	w.Header().Set("Content-Type", "application/octet-stream")
 	_, _ = w.Write(object.Value)
 }
@@ -104,15 +104,15 @@
 func answerError(w http.ResponseWriter, err error) {
 	status := http.StatusServiceUnavailable
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		status = http.StatusPreconditionFailed
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectapi.ErrTooLarge):
 		status = http.StatusRequestEntityTooLarge
-	case errors.Is(err, platform.ErrRateLimited):
+	case errors.Is(err, objectapi.ErrRateLimited):
 		status = http.StatusTooManyRequests
-		wait := platform.RetryAfter(err, time.Second)
+		wait := objectapi.RetryAfter(err, time.Second)
 		seconds := int(math.Ceil(wait.Seconds())) // the header has whole seconds
 		w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
--- a/fake/objects_test.go
+++ b/fake/objects_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Guards against a stand-in that is faster than the platform: the limits have
@@ -41,11 +41,11 @@
 		ctx := t.Context()
 		objects.SetFaults(func(f *ObjectFaults) { f.DropNext, f.DelayNext, f.DelayMs, f.LatencyMs = 1, 1, 500, 10 })
 		_, err := objects.Put(ctx, "x", []byte("dropped"), 0)
-		require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+		require.ErrorIs(t, err, objectapi.ErrOutcomeUnknown)
 		_, err = objects.Put(ctx, "x", []byte("late"), 0)
-		require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+		require.ErrorIs(t, err, objectapi.ErrOutcomeUnknown)
 		_, err = objects.Get(ctx, "x")
-		require.ErrorIs(t, err, platform.ErrNotFound)
+		require.ErrorIs(t, err, objectapi.ErrNotFound)
 		time.Sleep(time.Second)
 		start := time.Now()
 		got, err := objects.Get(ctx, "x")
@@ -68,7 +68,7 @@
 		time.Sleep(70 * time.Second)
 		require.EqualValues(t, 3, objects.Counters().Watches, "each long poll is a call")
 		objects.SetFaults(func(f *ObjectFaults) { f.Outage = true })
-		require.ErrorIs(t, <-watched, platform.ErrUnavailable)
+		require.ErrorIs(t, <-watched, objectapi.ErrUnavailable)
 		require.Zero(t, objects.Counters().PendingWatches)
 	})
 }
--- a/fake/services_test.go
+++ b/fake/services_test.go
@@ -14,7 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Guards against a ledger that misses a run whose answer was lost, or counts a
@@ -41,17 +41,17 @@
 // membership.
 func TestHostsLag(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := NewHosts([]platform.Host{{ID: "a"}, {ID: "b"}}, 2*time.Second)
-		read := func() (hosts []platform.Host) {
+		h := NewHosts([]objectapi.Host{{ID: "a"}, {ID: "b"}}, 2*time.Second)
+		read := func() (hosts []objectapi.Host) {
 			data := call(t.Context(), h, "GET", "/v1/hosts", "").Body.Bytes()
 			require.NoError(t, json.Unmarshal(data, &hosts))
 			return hosts
 		}
 		call(t.Context(), h, "POST", "/control", `{"remove":["a"],"leaving":["b"],"add":[{"id":"c"}]}`)
 		time.Sleep(time.Second)
-		require.Equal(t, []platform.Host{{ID: "a"}, {ID: "b"}}, read())
+		require.Equal(t, []objectapi.Host{{ID: "a"}, {ID: "b"}}, read())
 		time.Sleep(time.Second)
-		require.Equal(t, []platform.Host{{ID: "b", Leaving: true}, {ID: "c"}}, read())
+		require.Equal(t, []objectapi.Host{{ID: "b", Leaving: true}, {ID: "c"}}, read())
 	})
 }
 
--- a/intent/group.go
+++ b/intent/group.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // group is the state machine of one shard. It collects ops into conditional
@@ -251,7 +251,7 @@
 }
 
 // onWrite takes the result of the write.
-func (g *group) onWrite(written platform.Object, err error, now time.Time) {
+func (g *group) onWrite(written objectapi.Object, err error, now time.Time) {
 	sent := g.inFlight
 	g.inFlight = nil
 	switch {
@@ -264,11 +264,11 @@
 		g.conflicts = 0
 		g.commit(sent)
 		return
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		sent.restore()
 		g.conflict(now)
 		return
-	case errors.Is(err, platform.ErrOutcomeUnknown):
+	case errors.Is(err, objectapi.ErrOutcomeUnknown):
 		g.loaded = false // read before the next write: it may have taken effect
 		g.retry(err, now)
 		return
@@ -310,9 +310,9 @@
 }
 
 // onRead takes the result of a read that started at started.
-func (g *group) onRead(found platform.Object, err error, started, now time.Time) {
-	if errors.Is(err, platform.ErrNotFound) {
-		found, err = platform.Object{}, nil
+func (g *group) onRead(found objectapi.Object, err error, started, now time.Time) {
+	if errors.Is(err, objectapi.ErrNotFound) {
+		found, err = objectapi.Object{}, nil
 	}
 	if err == nil && (found.Version > g.version || g.readAt.IsZero()) {
 		err = g.adopt(found)
@@ -329,7 +329,7 @@
 	g.failures = 0
 }
 
-func (g *group) adopt(found platform.Object) error {
+func (g *group) adopt(found objectapi.Object) error {
 	data := newShardData()
 	if found.Version > 0 {
 		var err error
@@ -347,7 +347,7 @@
 func (g *group) retry(err error, now time.Time) {
 	wait := backoff(g.failures, g.random.Float64())
 	g.failures++
-	g.retryAt = now.Add(min(max(wait, platform.RetryAfter(err, 0)), maxBackoff))
+	g.retryAt = now.Add(min(max(wait, objectapi.RetryAfter(err, 0)), maxBackoff))
 	for _, o := range slices.Clone(g.ops) {
 		if o.kind == opBegin && o.uncertain == never && now.Sub(o.added) >= g.opts.RefuseAfter {
 			g.end(o, eris.Wrap(ErrUnavailable, err.Error()), now)
--- a/intent/store.go
+++ b/intent/store.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/lacewingshift/lacewingshift/event"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // errGone means that the caller of an op has left while its effect is open.
@@ -19,7 +19,7 @@
 // Store keeps at-most-once records in 64 objects of the object API. It is safe
 // for concurrent use.
 type Store struct {
-	objects platform.Objects
+	objects objectapi.Objects
 	opts    Options
 	shards  [Shards]*shard
 	ctx     context.Context
@@ -33,7 +33,7 @@
 }
 
 // NewStore returns a store over objects.
-func NewStore(objects platform.Objects, opts Options) *Store {
+func NewStore(objects objectapi.Objects, opts Options) *Store {
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Store{objects: objects, opts: opts.withDefaults(), ctx: ctx, cancel: cancel}
 	s.budget = rate.NewLimiter(rate.Limit(s.opts.WriteBudget), writeBurst)
--- a/member/member.go
+++ b/member/member.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/event"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // State is the state of a member. Of two records with the same incarnation, the
@@ -158,7 +158,7 @@
 
 // HostList is the platform's host list, which lags behind the truth. It is the
 // seed of the view and a hint whom to probe.
-type HostList struct{ Hosts []platform.Host }
+type HostList struct{ Hosts []objectapi.Host }
 
 // Receive is a message from another router.
 type Receive struct {
--- a/member/sim_test.go
+++ b/member/sim_test.go
@@ -6,7 +6,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // overheadBytes is the transport overhead of a message in the traffic figures.
@@ -21,7 +21,7 @@
 	seq      int
 	routers  map[string]*simRouter
 	hosts    []string
-	listed   []platform.Host
+	listed   []objectapi.Host
 	loss     float64
 	dup      float64
 	slow     float64 // part of the messages that is delayed by up to a second
@@ -96,7 +96,7 @@
 			AdminAddress: fmt.Sprintf("10.%d.0.%d:8082", dc, i), Incarnation: 1,
 		}
 		s.hosts = append(s.hosts, m.Host)
-		s.listed = append(s.listed, platform.Host{ID: m.Host, Kind: platform.HostRouter, Region: m.Region})
+		s.listed = append(s.listed, objectapi.Host{ID: m.Host, Kind: objectapi.HostRouter, Region: m.Region})
 		s.routers[m.Host] = &simRouter{member: m, down: true}
 	}
 	return s
--- a/member/spread_test.go
+++ b/member/spread_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/config"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // inForce is promise P8: an accepted version is in force within this time.
@@ -29,33 +29,33 @@
 	stale    float64 // part of the reads that return the version before
 }
 
-func (o *simObjects) Get(_ context.Context, name string) (platform.Object, error) {
+func (o *simObjects) Get(_ context.Context, name string) (objectapi.Object, error) {
 	if o.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	versions := o.versions[name]
 	if len(versions) == 0 {
-		return platform.Object{}, platform.ErrNotFound
+		return objectapi.Object{}, objectapi.ErrNotFound
 	}
-	return platform.Object{Name: name, Version: int64(len(versions)), Value: versions[len(versions)-1]}, nil
+	return objectapi.Object{Name: name, Version: int64(len(versions)), Value: versions[len(versions)-1]}, nil
 }
 
-func (o *simObjects) Put(_ context.Context, name string, value []byte, ifVersion int64) (platform.Object, error) {
+func (o *simObjects) Put(_ context.Context, name string, value []byte, ifVersion int64) (objectapi.Object, error) {
 	if o.down {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	if int64(len(o.versions[name])) != ifVersion {
-		return platform.Object{}, platform.ErrConflict
+		return objectapi.Object{}, objectapi.ErrConflict
 	}
 	o.versions[name] = append(o.versions[name], value)
 	if o.rng.Float64() < o.lost {
-		return platform.Object{}, platform.ErrOutcomeUnknown
+		return objectapi.Object{}, objectapi.ErrOutcomeUnknown
 	}
-	return platform.Object{Name: name, Version: ifVersion + 1, Value: value}, nil
+	return objectapi.Object{Name: name, Version: ifVersion + 1, Value: value}, nil
 }
 
-func (o *simObjects) Watch(context.Context, string, int64) (platform.Object, error) {
-	return platform.Object{}, platform.ErrUnavailable
+func (o *simObjects) Watch(context.Context, string, int64) (objectapi.Object, error) {
+	return objectapi.Object{}, objectapi.ErrUnavailable
 }
 
 // spreadSim runs the spread of the lists over the members of a sim.
--- a/platform/client.go
+++ b/objectapi/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"bytes"
--- a/platform/client_test.go
+++ b/objectapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -10,68 +10,68 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/fake"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 const slashed = "intent/0 7"
 
-func startObjects(t *testing.T, opts platform.Options) (*fake.Objects, *platform.Client) {
+func startObjects(t *testing.T, opts objectapi.Options) (*fake.Objects, *objectapi.Client) {
 	t.Helper()
 	objects := fake.NewObjects(1)
 	server := httptest.NewServer(objects)
 	t.Cleanup(server.Close)
-	client := platform.NewClient(server.URL, opts)
+	client := objectapi.NewClient(server.URL, opts)
 	t.Cleanup(client.Close)
 	return objects, client
 }
 
 // Guards against lost updates: a write on an old version has to fail.
 func TestConditionalUpdates(t *testing.T) {
-	_, client := startObjects(t, platform.Options{})
+	_, client := startObjects(t, objectapi.Options{})
 	ctx := t.Context()
 	_, err := client.Get(ctx, slashed)
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, objectapi.ErrNotFound)
 	first, err := client.Put(ctx, slashed, []byte("a"), 0)
 	require.NoError(t, err)
 	require.EqualValues(t, 1, first.Version)
 	_, err = client.Put(ctx, slashed, []byte("b"), 0)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, objectapi.ErrConflict)
 	_, err = client.Put(ctx, slashed, []byte("b"), 1)
 	require.NoError(t, err)
 	got, err := client.Get(ctx, slashed)
 	require.NoError(t, err)
-	require.Equal(t, platform.Object{Name: slashed, Version: 2, Value: []byte("b")}, got)
-	_, err = client.Put(ctx, slashed, make([]byte, platform.MaxValueBytes+1), 2)
-	require.ErrorIs(t, err, platform.ErrTooLarge)
+	require.Equal(t, objectapi.Object{Name: slashed, Version: 2, Value: []byte("b")}, got)
+	_, err = client.Put(ctx, slashed, make([]byte, objectapi.MaxValueBytes+1), 2)
+	require.ErrorIs(t, err, objectapi.ErrTooLarge)
 	_, err = client.Get(ctx, "a/../b")
-	require.ErrorIs(t, err, platform.ErrInvalidName)
+	require.ErrorIs(t, err, objectapi.ErrInvalidName)
 }
 
 // Guards against taking a write for failed when only its reply was lost, and
 // for possibly written when it was never sent.
 func TestOutcomeOfFailedWrites(t *testing.T) {
-	objects, client := startObjects(t, platform.Options{})
+	objects, client := startObjects(t, objectapi.Options{})
 	ctx := t.Context()
 	objects.SetFaults(func(f *fake.ObjectFaults) { f.LoseNext = 1 })
 	_, err := client.Put(ctx, "x", []byte("a"), 0)
-	require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	require.ErrorIs(t, err, objectapi.ErrOutcomeUnknown)
 	got, err := client.Get(ctx, "x")
 	require.NoError(t, err)
 	require.EqualValues(t, 1, got.Version)
 
 	objects.SetFaults(func(f *fake.ObjectFaults) { f.Outage = true })
 	_, err = client.Put(ctx, "x", []byte("b"), 1)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 	_, err = client.Get(ctx, "x")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 
 	closed := httptest.NewServer(objects)
 	closed.Close()
-	refused := platform.NewClient(closed.URL, platform.Options{})
+	refused := objectapi.NewClient(closed.URL, objectapi.Options{})
 	_, err = refused.Put(ctx, "x", []byte("b"), 1)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 	_, err = refused.Hosts(ctx)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 }
 
 // Guards against a hung platform that blocks its callers for ever, and against
@@ -85,7 +85,7 @@
 	}))
 	defer server.Close()
 	defer close(release)
-	client := platform.NewClient(server.URL, platform.Options{Timeout: time.Hour})
+	client := objectapi.NewClient(server.URL, objectapi.Options{Timeout: time.Hour})
 	defer client.Close()
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
@@ -93,25 +93,25 @@
 		cancel()
 	}()
 	_, err := client.Put(ctx, "x", nil, 0)
-	require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
-	hasty := platform.NewClient(server.URL, platform.Options{Timeout: time.Millisecond, WatchTimeout: time.Millisecond})
+	require.ErrorIs(t, err, objectapi.ErrOutcomeUnknown)
+	hasty := objectapi.NewClient(server.URL, objectapi.Options{Timeout: time.Millisecond, WatchTimeout: time.Millisecond})
 	defer hasty.Close()
 	_, err = hasty.Get(t.Context(), "x")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 	_, err = hasty.Watch(t.Context(), "x", 0)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 }
 
 // Guards against missed changes, and against a watch that ends at a long-poll
 // limit instead of polling again.
 func TestWatch(t *testing.T) {
-	objects, client := startObjects(t, platform.Options{})
+	objects, client := startObjects(t, objectapi.Options{})
 	_, err := client.Watch(t.Context(), "x", 0)
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, objectapi.ErrNotFound)
 	_, err = client.Put(t.Context(), "x", []byte("a"), 0)
 	require.NoError(t, err)
 	type result struct {
-		object platform.Object
+		object objectapi.Object
 		err    error
 	}
 	results := make(chan result)
@@ -149,17 +149,17 @@
 		}
 	}))
 	defer server.Close()
-	client := platform.NewClient(server.URL, platform.Options{})
+	client := objectapi.NewClient(server.URL, objectapi.Options{})
 	defer client.Close()
 	_, err := client.Put(t.Context(), "x", nil, 0)
-	require.ErrorIs(t, err, platform.ErrRateLimited)
-	require.Equal(t, 2*time.Second, platform.RetryAfter(err, 0))
+	require.ErrorIs(t, err, objectapi.ErrRateLimited)
+	require.Equal(t, 2*time.Second, objectapi.RetryAfter(err, 0))
 	_, err = client.Watch(t.Context(), "x", 0)
-	require.ErrorIs(t, err, platform.ErrRateLimited)
+	require.ErrorIs(t, err, objectapi.ErrRateLimited)
 	require.Equal(t, 2, polls)
 	_, err = client.Put(t.Context(), "broken", nil, 0)
-	require.ErrorIs(t, err, platform.ErrOutcomeUnknown)
+	require.ErrorIs(t, err, objectapi.ErrOutcomeUnknown)
 	hosts, err := client.Hosts(t.Context())
 	require.NoError(t, err)
-	require.Equal(t, []platform.Host{{ID: "r1", Kind: platform.HostRouter, Leaving: true}}, hosts)
+	require.Equal(t, []objectapi.Host{{ID: "r1", Kind: objectapi.HostRouter, Leaving: true}}, hosts)
 }
--- a/platform/platform.go
+++ b/objectapi/platform.go
@@ -1,6 +1,6 @@
-// Package platform is the client of the platform's services: the object API,
+// Package objectapi is the client of the platform's services: the object API,
 // which holds what must last, and the host list.
-package platform
+package objectapi
 
 import (
 	"context"
--- a/order/lease.go
+++ b/order/lease.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // writeAttempts bounds the retries of one write. A lease that could not be
@@ -20,7 +20,7 @@
 // Lease is the right to order the engines of one group. It is safe for
 // concurrent use.
 type Lease struct {
-	objects platform.Objects
+	objects objectapi.Objects
 	name    string
 
 	// writing is held during calls to the object API, mu only for the state: a
@@ -31,7 +31,7 @@
 }
 
 // NewLease returns a lease that is stored as name; holder is this router.
-func NewLease(objects platform.Objects, name, holder string, timing Timing) *Lease {
+func NewLease(objects objectapi.Objects, name, holder string, timing Timing) *Lease {
 	return &Lease{objects: objects, name: name, state: leaseState{timing: timing.withDefaults(), holder: holder}}
 }
 
@@ -162,8 +162,8 @@
 // read takes the current lease object into the state.
 func (l *Lease) read(ctx context.Context) error {
 	found, err := l.objects.Get(ctx, l.name)
-	if errors.Is(err, platform.ErrNotFound) {
-		found, err = platform.Object{}, nil
+	if errors.Is(err, objectapi.ErrNotFound) {
+		found, err = objectapi.Object{}, nil
 	}
 	if err != nil {
 		return eris.Wrap(ErrUnavailable, err.Error())
@@ -186,7 +186,7 @@
 			return written.Version, nil
 		}
 		err = putErr
-		if !errors.Is(err, platform.ErrOutcomeUnknown) && !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, objectapi.ErrOutcomeUnknown) && !errors.Is(err, objectapi.ErrConflict) {
 			break
 		}
 		done, readErr := l.readBack(ctx, version, value)
--- a/order/lease_state.go
+++ b/order/lease_state.go
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // Errors of a lease.
@@ -80,7 +80,7 @@
 	serial uint64
 
 	// seen is the latest known object, unchanged since seenAt.
-	seen   platform.Object
+	seen   objectapi.Object
 	value  leaseValue
 	known  bool
 	seenAt time.Time
@@ -95,7 +95,7 @@
 
 // observe takes a read of the lease object that ended at now. A read that is
 // older than the known state is ignored.
-func (l *leaseState) observe(found platform.Object, now time.Time) error {
+func (l *leaseState) observe(found objectapi.Object, now time.Time) error {
 	if l.known && found.Version <= l.seen.Version {
 		return nil
 	}
--- a/router/cells.go
+++ b/router/cells.go
@@ -9,8 +9,8 @@
 	"github.com/lacewingshift/lacewingshift/dispatch"
 	"github.com/lacewingshift/lacewingshift/entry"
 	"github.com/lacewingshift/lacewingshift/event"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/peer"
-	"github.com/lacewingshift/lacewingshift/platform"
 	"github.com/lacewingshift/lacewingshift/ticket"
 )
 
@@ -26,14 +26,14 @@
 	loop      *loop[cell.Input]
 	transport peer.Transport
 	events    *event.Log
-	host      func(id string) (platform.Host, bool)
+	host      func(id string) (objectapi.Host, bool)
 
 	mu      sync.Mutex
 	waiting map[string]chan entry.Decision
 }
 
 func newCells(ctx context.Context, node *cell.Node, transport peer.Transport, events *event.Log,
-	host func(string) (platform.Host, bool)) *cells {
+	host func(string) (objectapi.Host, bool)) *cells {
 	c := &cells{
 		ctx: ctx, node: node, transport: transport, events: events, host: host,
 		waiting: map[string]chan entry.Decision{},
@@ -66,7 +66,7 @@
 		if !known {
 			// The upstream left the host list while the grant was on its way. An
 			// empty address fails as not sent, and the request is tried again.
-			host = platform.Host{ID: d.Upstream}
+			host = objectapi.Host{ID: d.Upstream}
 		}
 		c.notify(d.ID, entry.Decision{Granted: true, Upstream: host})
 	case cell.Refused:
--- a/router/directory.go
+++ b/router/directory.go
@@ -7,7 +7,7 @@
 	"github.com/lacewingshift/lacewingshift/config"
 	"github.com/lacewingshift/lacewingshift/entry"
 	"github.com/lacewingshift/lacewingshift/member"
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // directory answers the entry's questions from the latest snapshots. It
@@ -41,7 +41,7 @@
 }
 
 // ServiceKind implements entry.Directory.
-func (d *directory) ServiceKind(name string) (platform.ServiceKind, bool) {
+func (d *directory) ServiceKind(name string) (objectapi.ServiceKind, bool) {
 	kind, ok := d.hosts.table.Load().kinds[name]
 	return kind, ok
 }
--- a/router/hosts.go
+++ b/router/hosts.go
@@ -8,7 +8,7 @@
 
 	"github.com/charmbracelet/log"
 
-	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 )
 
 // hostsPeriod is how often the host list is read. Together with the list's lag
@@ -17,21 +17,21 @@
 
 // hostTable is the latest host list, as immutable snapshot.
 type hostTable struct {
-	byID      map[string]platform.Host
-	all       []platform.Host
-	upstreams []platform.Host
-	kinds     map[string]platform.ServiceKind
+	byID      map[string]objectapi.Host
+	all       []objectapi.Host
+	upstreams []objectapi.Host
+	kinds     map[string]objectapi.ServiceKind
 }
 
-func newHostTable(hosts []platform.Host) *hostTable {
+func newHostTable(hosts []objectapi.Host) *hostTable {
 	t := &hostTable{
-		byID:  map[string]platform.Host{},
+		byID:  map[string]objectapi.Host{},
 		all:   hosts,
-		kinds: map[string]platform.ServiceKind{},
+		kinds: map[string]objectapi.ServiceKind{},
 	}
 	for _, h := range hosts {
 		t.byID[h.ID] = h
-		if h.Kind == platform.HostUpstream {
+		if h.Kind == objectapi.HostUpstream {
 			t.upstreams = append(t.upstreams, h)
 			t.kinds[h.Service] = h.ServiceKind
 		}
@@ -41,27 +41,27 @@
 
 // hosts reads the platform's host list.
 type hosts struct {
-	list    platform.HostList
+	list    objectapi.HostList
 	logger  *log.Logger
 	table   atomic.Pointer[hostTable]
 	changed func(*hostTable)
 	// confirmed gets a list that has not changed, now and then: the members count
 	// a dead router as known until a list without it arrives.
-	confirmed func([]platform.Host)
+	confirmed func([]objectapi.Host)
 	unchanged int
 }
 
 // confirmEvery is the number of unchanged lists between two confirmations.
 const confirmEvery = 10
 
-func (h *hosts) repeat(list []platform.Host) {
+func (h *hosts) repeat(list []objectapi.Host) {
 	h.unchanged++
 	if h.unchanged%confirmEvery == 0 {
 		h.confirmed(list)
 	}
 }
 
-func newHosts(list platform.HostList, logger *log.Logger) *hosts {
+func newHosts(list objectapi.HostList, logger *log.Logger) *hosts {
 	h := &hosts{list: list, logger: logger}
 	h.table.Store(newHostTable(nil))
 	return h
@@ -101,7 +101,7 @@
 	return nil
 }
 
-func (h *hosts) host(id string) (platform.Host, bool) {
+func (h *hosts) host(id string) (objectapi.Host, bool) {
 	found, ok := h.table.Load().byID[id]
 	return found, ok
 }
--- a/router/lists.go
+++ b/router/lists.go
@@ -12,9 +12,9 @@
 	"github.com/lacewingshift/lacewingshift/config"
 	"github.com/lacewingshift/lacewingshift/dispatch"
 	"github.com/lacewingshift/lacewingshift/member"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/pause"
 	"github.com/lacewingshift/lacewingshift/peer"
-	"github.com/lacewingshift/lacewingshift/platform"
 )
 
 const (
@@ -42,7 +42,7 @@
 	ctx       context.Context
 	spread    *config.Spread
 	loop      *loop[config.SpreadInput]
-	objects   platform.Objects
+	objects   objectapi.Objects
 	transport peer.Transport
 	logger    *log.Logger
 	current   atomic.Pointer[inForce]
@@ -57,7 +57,7 @@
 // reach counts the routers that this one reaches, and all that it knows of.
 type reach struct{ reachable, known int }
 
-func newLists(ctx context.Context, spread *config.Spread, objects platform.Objects, transport peer.Transport, logger *log.Logger) *lists {
+func newLists(ctx context.Context, spread *config.Spread, objects objectapi.Objects, transport peer.Transport, logger *log.Logger) *lists {
 	l := &lists{ctx: ctx, spread: spread, objects: objects, transport: transport, logger: logger}
 	l.current.Store(&inForce{})
 	l.reach.Store(&reach{reachable: 1, known: 1})
@@ -132,7 +132,7 @@
 	switch {
 	case err == nil:
 		l.loop.send(ctx, config.PlatformRead{Version: object.Version, Data: object.Value, Started: started})
-	case eris.Is(err, platform.ErrNotFound):
+	case eris.Is(err, objectapi.ErrNotFound):
 		l.loop.send(ctx, config.PlatformRead{Started: started})
 	default:
 		l.loop.send(l.ctx, config.PlatformFailed{})
--- a/router/members.go
+++ b/router/members.go
@@ -7,8 +7,8 @@
 
 	"github.com/lacewingshift/lacewingshift/event"
 	"github.com/lacewingshift/lacewingshift/member"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/peer"
-	"github.com/lacewingshift/lacewingshift/platform"
 )
 
 // members connects the membership state machine to the peers.
@@ -64,7 +64,7 @@
 	m.loop.send(m.ctx, member.Receive{From: from, Body: body})
 }
 
-func (m *members) setHosts(hosts []platform.Host) {
+func (m *members) setHosts(hosts []objectapi.Host) {
 	m.loop.send(m.ctx, member.HostList{Hosts: hosts})
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -20,9 +20,9 @@
 	"github.com/lacewingshift/lacewingshift/event"
 	"github.com/lacewingshift/lacewingshift/intent"
 	"github.com/lacewingshift/lacewingshift/member"
+	"github.com/lacewingshift/lacewingshift/objectapi"
 	"github.com/lacewingshift/lacewingshift/pause"
 	"github.com/lacewingshift/lacewingshift/peer"
-	"github.com/lacewingshift/lacewingshift/platform"
 	"github.com/lacewingshift/lacewingshift/reply"
 	"github.com/lacewingshift/lacewingshift/settings"
 	"github.com/lacewingshift/lacewingshift/upstream"
@@ -53,7 +53,7 @@
 	logger   *log.Logger
 	events   *event.Log
 	quic     *peer.QUIC
-	objects  *platform.Client
+	objects  *objectapi.Client
 	cells    *cells
 	members  *members
 	lists    *lists
@@ -119,8 +119,8 @@
 // build creates the parts and connects them.
 func (r *Router) build(secret []byte) {
 	s := r.settings
-	r.objects = platform.NewClient(s.Platform.ObjectsURL, platform.Options{})
-	r.hosts = newHosts(platform.NewClient(s.Platform.HostsURL, platform.Options{}), r.part("hosts"))
+	r.objects = objectapi.NewClient(s.Platform.ObjectsURL, objectapi.Options{})
+	r.hosts = newHosts(objectapi.NewClient(s.Platform.HostsURL, objectapi.Options{}), r.part("hosts"))
 	r.hosts.changed = r.hostsChanged
 	r.buildMembers()
 	r.lists = newLists(r.ctx, config.NewSpread(s.Host, s.Region), r.objects, r.quic, r.part("config"))
@@ -196,7 +196,7 @@
 func (r *Router) refreshAddresses() {
 	addresses := map[string]peer.Address{}
 	for _, h := range r.hosts.table.Load().all {
-		if h.Kind == platform.HostRouter && h.PeerAddress != "" {
+		if h.Kind == objectapi.HostRouter && h.PeerAddress != "" {
 			addresses[h.ID] = peer.Address{UDP: h.PeerAddress}
 		}
 	}
