--- /dev/null
+++ b/budget/budget.go
@@ -0,0 +1,90 @@
+// Package budget bounds how often the fleet repeats sends to a service. Every
+// router counts its own requests and repeats and learns those of the others from
+// their reports, so the bound holds for all routers together.
+package budget
+
+import "time"
+
+// buckets divide the window; the count of a window errs by at most one bucket.
+const buckets = 20
+
+// safety is the part of the bound that is used. The rest covers what other
+// routers have spent since their latest report.
+const safety = 0.7
+
+// Limits are the bound: Slack + Ratio x requests within Window.
+type Limits struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Counts are requests and repeats within a window.
+type Counts struct {
+	Requests int `cbor:"1,keyasint,omitempty"`
+	Repeats  int `cbor:"2,keyasint,omitempty"`
+}
+
+// Fleet is what other routers have reported.
+type Fleet struct {
+	Counts
+	// Heard and Known are how many other routers the counts cover and how many
+	// there are.
+	Heard, Known int
+}
+
+// Window counts the requests and repeats of one router to one service. It is not
+// safe for concurrent use.
+type Window struct {
+	limits Limits
+	counts [buckets]Counts
+	latest int64 // number of the newest bucket
+	start  time.Time
+}
+
+// NewWindow returns an empty window.
+func NewWindow(limits Limits, now time.Time) *Window {
+	return &Window{limits: limits, start: now}
+}
+
+// Request counts the first send of a request.
+func (w *Window) Request(now time.Time) { w.bucket(now).Requests++ }
+
+// Sum returns the counts within the window.
+func (w *Window) Sum(now time.Time) Counts {
+	w.bucket(now)
+	var sum Counts
+	for _, c := range w.counts {
+		sum.Requests += c.Requests
+		sum.Repeats += c.Repeats
+	}
+	return sum
+}
+
+// Repeat counts a repeated send if the bound of the fleet allows it, and tells
+// whether it does. Routers that are not heard keep their part of the slack.
+func (w *Window) Repeat(now time.Time, fleet Fleet) bool {
+	own := w.Sum(now)
+	requests := float64(own.Requests + fleet.Requests)
+	slack := w.limits.Slack * float64(1+fleet.Heard) / float64(1+max(fleet.Known, fleet.Heard))
+	allowed := safety * (w.limits.Ratio*requests + slack)
+	if float64(own.Repeats+fleet.Repeats+1) > allowed {
+		return false
+	}
+	w.bucket(now).Repeats++
+	return true
+}
+
+// bucket returns the bucket of now and clears those that have left the window.
+func (w *Window) bucket(now time.Time) *Counts {
+	number := int64(now.Sub(w.start) / (w.limits.Window / buckets))
+	if number-w.latest >= buckets {
+		w.counts = [buckets]Counts{}
+		w.latest = number
+	}
+	for w.latest < number {
+		w.latest++
+		w.counts[w.latest%buckets] = Counts{}
+	}
+	return &w.counts[w.latest%buckets]
+}
--- a/cmd/lacewingd/main.go
+++ b/cmd/lacewingd/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&daemon.RunCommand{}, "")
+	subcommands.Register(&daemon.ServeCommand{}, "")
 	subcommands.Register(&daemon.CheckCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,7 +67,8 @@
 
 // CheckCommand checks a settings file without starting anything.
 type CheckCommand struct {
-	file string
+	file     string
+	platform string
 }
 
 // Name implements subcommands.Command.
@@ -82,10 +83,14 @@
 // SetFlags implements subcommands.Command.
 func (c *CheckCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.file, "settings", "", "settings file in JSON")
+	f.StringVar(&c.platform, "platform", "", "settings file in the platform's format, in place of -settings")
 }
 
 // Execute implements subcommands.Command.
 func (c *CheckCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if c.platform != "" {
+		return checkPlatform(c.platform)
+	}
 	s, status := load(c.file)
 	if status != subcommands.ExitSuccess {
 		return status
--- /dev/null
+++ b/daemon/serve.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/google/subcommands"
+
+	"github.com/lacewingshift/lacewingshift/gateway"
+	"github.com/lacewingshift/lacewingshift/logsink"
+	"github.com/lacewingshift/lacewingshift/platform"
+)
+
+// memoryShare is the part of the memory limit at which the garbage collector
+// works harder; the rest is for what the runtime does not count, such as socket
+// buffers.
+const memoryShare = 0.7
+
+// ServeCommand runs a router on the users' platform.
+type ServeCommand struct {
+	file    string
+	metrics string
+	level   string
+}
+
+// Name implements subcommands.Command.
+func (*ServeCommand) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*ServeCommand) Synopsis() string { return "run a router on the platform" }
+
+// Usage implements subcommands.Command.
+func (*ServeCommand) Usage() string {
+	return "serve [-settings FILE] [-metrics ADDRESS] [-level LEVEL]: run a router on the platform until SIGTERM\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *ServeCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.file, "settings", os.Getenv(platform.SettingsVariable), "settings file in the platform's format")
+	f.StringVar(&c.metrics, "metrics", "", "address on which /metrics is served, such as :9464; none if empty")
+	f.StringVar(&c.level, "level", "info", "lowest level of log lines: debug, info, warn, error")
+}
+
+// Execute implements subcommands.Command.
+func (c *ServeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	sink := logsink.New(os.Stdout)
+	sinkContext, stopSink := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = sink.Run(sinkContext) // always nil
+	}()
+	defer func() {
+		stopSink()
+		<-written
+	}()
+	logger := newPlatformLogger(sink, c.level)
+	s, err := platform.LoadSettings(c.file)
+	if err != nil {
+		logger.Error("settings cannot be used", "file", c.file, "err", err)
+		return subcommands.ExitFailure
+	}
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
+	}
+	go c.watchReload(ctx, logger)
+	g, err := gateway.New(s, gateway.Options{MetricsAddress: c.metrics}, logger)
+	if err != nil {
+		logger.Error("router cannot start", "err", err)
+		return subcommands.ExitFailure
+	}
+	if err := g.Run(ctx); err != nil {
+		logger.Error("router failed", "err", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func newPlatformLogger(sink *logsink.Sink, level string) *log.Logger {
+	parsed, err := log.ParseLevel(level)
+	if err != nil {
+		parsed = log.InfoLevel
+	}
+	return log.NewWithOptions(sink, log.Options{
+		Level: parsed, ReportTimestamp: true, TimeFormat: "15:04:05.000",
+		Formatter: log.LogfmtFormatter,
+	})
+}
+
+// watchReload checks the settings file on SIGHUP. Addresses and bounds of a
+// running router do not change; a file that cannot be used is reported and
+// changes nothing.
+func (c *ServeCommand) watchReload(ctx context.Context, logger *log.Logger) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+		}
+		if _, err := platform.LoadSettings(c.file); err != nil {
+			logger.Error("changed settings cannot be used", "file", c.file, "err", err)
+			continue
+		}
+		logger.Info("settings read again", "file", c.file)
+	}
+}
+
+// checkPlatform checks a settings file in the platform's format.
+func checkPlatform(file string) subcommands.ExitStatus {
+	if _, err := platform.LoadSettings(file); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Println("settings are valid")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/fleet/table.go
@@ -0,0 +1,262 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// ReportInterval is the time between reports of a router. Placement works with
+	// loads that are at most this old plus one way of the network.
+	ReportInterval = 150 * time.Millisecond
+	// LiveAfter is the silence after which a router no longer counts: several
+	// reports may be lost or late in a row on a bad link.
+	LiveAfter = 1200 * time.Millisecond
+	// knownEvery is the number of reports between two that carry known routers.
+	knownEvery = 6
+	// probeInterval is the time between reports to silent routers.
+	probeInterval = time.Second
+	// ForgetAfter is how long silent routers are probed. It exceeds the hour for
+	// which regions may lose each other.
+	ForgetAfter = 2 * time.Hour
+	// pauseLimit is a gap between steps that can only be a pause of this process.
+	pauseLimit = 600 * time.Millisecond
+)
+
+// Table is what one router knows of the others. It is not safe for concurrent
+// use.
+type Table struct {
+	self    Record
+	members map[string]*member
+	seeds   map[string]time.Time // last probe
+	last    time.Time
+	started time.Time
+	count   uint64
+}
+
+type member struct {
+	record   Record
+	report   *Report
+	heard    time.Time // latest report, zero before the first
+	firstSaw time.Time
+	probed   time.Time
+}
+
+// Change is what a step has altered in who takes part.
+type Change struct {
+	Host  string
+	State string
+}
+
+// NewTable returns a table of self and seeds to probe.
+func NewTable(self Record, seeds []string, now time.Time) *Table {
+	t := &Table{self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, last: now, started: now}
+	for _, seed := range seeds {
+		if seed != self.Host {
+			t.seeds[seed] = time.Time{}
+		}
+	}
+	return t
+}
+
+// SetState changes the state of this router.
+func (t *Table) SetState(s State) { t.self.State = s }
+
+// Self returns the record of this router.
+func (t *Table) Self() Record { return t.self }
+
+// Learn takes records from the store or from another router's report. They tell
+// whom to report to, not who is live.
+func (t *Table) Learn(now time.Time, records []Record) {
+	for _, r := range records {
+		if r.Host == "" || r.Host == t.self.Host {
+			continue
+		}
+		m := t.members[r.Host]
+		if m == nil {
+			t.members[r.Host] = &member{record: r, firstSaw: now}
+			continue
+		}
+		if r.Incarnation > m.record.Incarnation {
+			m.record, m.report, m.heard, m.firstSaw = r, nil, time.Time{}, now
+		}
+	}
+}
+
+// Receive takes a report and tells whether it is newer than what is known.
+func (t *Table) Receive(now time.Time, r *Report) (newer bool) {
+	if r.Host == t.self.Host {
+		return false
+	}
+	m := t.members[r.Host]
+	if m == nil {
+		m = &member{firstSaw: now}
+		t.members[r.Host] = m
+	}
+	old := m.report
+	if old != nil && (r.Incarnation < old.Incarnation || r.Incarnation == old.Incarnation && r.Sequence <= old.Sequence) {
+		return false
+	}
+	m.record, m.report, m.heard = r.Record, r, now
+	t.Learn(now, r.Known)
+	return true
+}
+
+// Step lets time pass. After a pause of this process the silence of the others
+// was its own.
+func (t *Table) Step(now time.Time) {
+	gap := now.Sub(t.last)
+	t.last = now
+	if gap > pauseLimit {
+		for _, m := range t.members {
+			if !m.heard.IsZero() {
+				m.heard = m.heard.Add(gap)
+			}
+		}
+	}
+	for host, m := range t.members {
+		if now.Sub(latest(m.heard, m.firstSaw)) > ForgetAfter {
+			delete(t.members, host)
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (m *member) live(now time.Time) bool {
+	return !m.heard.IsZero() && now.Sub(m.heard) < LiveAfter
+}
+
+// Targets returns the hosts to send the next report to: those that are live, and
+// now and then those that are silent.
+func (t *Table) Targets(now time.Time) []string {
+	var hosts []string
+	for host, m := range t.members {
+		if m.live(now) {
+			hosts = append(hosts, host)
+			continue
+		}
+		if now.Sub(m.probed) >= probeInterval {
+			m.probed = now
+			hosts = append(hosts, host)
+		}
+	}
+	for seed, probed := range t.seeds {
+		if t.members[seed] == nil && now.Sub(probed) >= probeInterval {
+			t.seeds[seed] = now
+			hosts = append(hosts, seed)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// Addresses returns every host that a report may go to.
+func (t *Table) Addresses() map[string]uint64 {
+	addresses := map[string]uint64{}
+	for seed := range t.seeds {
+		addresses[seed] = 0
+	}
+	for host, m := range t.members {
+		addresses[host] = m.record.Incarnation
+	}
+	return addresses
+}
+
+// Next completes a report of this router with its record and sequence.
+func (t *Table) Next(r *Report) {
+	t.count++
+	r.Record = t.self
+	r.Sequence = t.count
+	if t.count%knownEvery != 1 {
+		return
+	}
+	for _, host := range slices.Sorted(maps.Keys(t.members)) {
+		r.Known = append(r.Known, t.members[host].record)
+	}
+}
+
+// Live returns the routers that report, this one included, sorted by host.
+func (t *Table) Live(now time.Time) []Record {
+	live := []Record{t.self}
+	for _, m := range t.members {
+		if m.live(now) {
+			live = append(live, m.record)
+		}
+	}
+	slices.SortFunc(live, func(a, b Record) int { return compare(a.Host, b.Host) })
+	return live
+}
+
+func compare(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+// Reports returns the latest report of each live router but this one.
+func (t *Table) Reports(now time.Time) []*Report {
+	var reports []*Report
+	for _, host := range slices.Sorted(maps.Keys(t.members)) {
+		if m := t.members[host]; m.live(now) {
+			reports = append(reports, m.report)
+		}
+	}
+	return reports
+}
+
+// Heard returns how long ago a host's latest report arrived.
+func (t *Table) Heard(now time.Time, host string) time.Duration {
+	if m := t.members[host]; m != nil && !m.heard.IsZero() {
+		return now.Sub(m.heard)
+	}
+	return ForgetAfter
+}
+
+// Known returns how many other routers have taken part lately, live or not.
+func (t *Table) Known(now time.Time) int {
+	count := 0
+	for _, m := range t.members {
+		if !m.heard.IsZero() && now.Sub(m.heard) < time.Minute && m.record.State != Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// WatchersPerRegion is how many routers of a region watch the store for all of
+// them. One is enough while it lives; the others take over when its word is old.
+const WatchersPerRegion = 1
+
+// Watches tells whether this router is one of those that watch the store for
+// their region.
+func (t *Table) Watches(now time.Time) bool {
+	before := 0
+	for _, r := range t.Live(now) {
+		if r.Region == t.self.Region && r.State == Ready && r.Host < t.self.Host {
+			before++
+		}
+	}
+	return before < WatchersPerRegion
+}
+
+// ConfirmedAge returns how long ago the store last confirmed to some other live
+// router that nothing has changed. What changed before reaches this router with
+// that router's reports.
+func (t *Table) ConfirmedAge(now time.Time) time.Duration {
+	age := ForgetAfter
+	for _, r := range t.Reports(now) {
+		age = min(age, r.StoreAge()+t.Heard(now, r.Host))
+	}
+	return age
+}
--- /dev/null
+++ b/gateway/connections.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection to an upstream. The longest
+	// way between regions takes a few tens of milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// keepIdle is how long idle connections are kept while an upstream has not
+	// said how long it keeps them.
+	keepIdle = 4 * time.Second
+	// keepMargin is how much earlier than the upstream a router closes an idle
+	// connection, so that no request meets a closing one.
+	keepMargin = time.Second
+	// freshIdle bounds the idle time of connections for requests that must not be
+	// repeated, since one that the upstream has dropped leaves their outcome open.
+	freshIdle = time.Second
+	// idlePerUpstream bounds the idle connections to one upstream.
+	idlePerUpstream = 64
+)
+
+// connections are the HTTP connections to the upstreams of one service. It is
+// safe for concurrent use.
+type connections struct {
+	mu       sync.Mutex
+	idle     time.Duration
+	reusable *http.Transport
+	fresh    *http.Transport
+}
+
+func newConnections() *connections {
+	return &connections{idle: keepIdle, reusable: newTransport(keepIdle), fresh: newTransport(freshIdle)}
+}
+
+func newTransport(idle time.Duration) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, network, address)
+		},
+		MaxIdleConnsPerHost: idlePerUpstream,
+		IdleConnTimeout:     idle,
+		DisableCompression:  true,
+	}
+}
+
+// transport returns the transport for a request.
+func (c *connections) transport(repeatable bool) *http.Transport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if repeatable {
+		return c.reusable
+	}
+	return c.fresh
+}
+
+// learn takes over how long the upstreams keep idle connections.
+func (c *connections) learn(timeout time.Duration) {
+	if timeout <= 0 {
+		return
+	}
+	idle := max(timeout-keepMargin, timeout/2)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if idle == c.idle {
+		return
+	}
+	old := c.reusable
+	c.idle, c.reusable = idle, newTransport(idle)
+	old.CloseIdleConnections()
+}
+
+func (c *connections) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reusable.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
--- /dev/null
+++ b/gateway/dispatch.go
@@ -0,0 +1,92 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/lacewingshift/lacewingshift/placement"
+)
+
+// assignment is a decision and the work that it adds to an upstream.
+type assignment struct {
+	placement.Decision
+	ticket *placement.Ticket
+	usage  float64
+	cost   float64
+	engine *placement.Pool
+	plain  *placement.PlainPool
+}
+
+// assign decides on an upstream for the next attempt of c and books its work
+// there.
+func (p *pools) assign(now time.Time, c *call) assignment {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.service.Engine == nil {
+		return p.assignPlain(now, c)
+	}
+	return p.assignEngine(now, c)
+}
+
+func (p *pools) assignPlain(now time.Time, c *call) assignment {
+	a := assignment{plain: p.plain(c.service.Name)}
+	a.Decision = a.plain.Place(now, placement.PlainRequest{Left: c.left(now), Exclude: c.tried})
+	if !a.Refused() {
+		a.ticket = a.plain.Sent(now, a.Upstream)
+	}
+	return a
+}
+
+func (p *pools) assignEngine(now time.Time, c *call) assignment {
+	a := assignment{engine: p.engines[c.service.Name], cost: c.cost()}
+	if a.engine == nil {
+		a.Decision = placement.Decision{Reason: placement.NoUpstream, RetryAfter: time.Second}
+		return a
+	}
+	workspace := c.workspaceName()
+	if c.attempts == 0 {
+		p.meter.Ask(now, workspace, a.cost)
+	}
+	a.usage = p.usage(now, workspace, a.cost)
+	request := c.engineRequest(a.usage)
+	a.Decision = a.engine.Place(now, request)
+	if a.Refused() {
+		return a
+	}
+	p.meter.Receive(now, workspace, a.cost)
+	a.ticket = a.engine.Sent(now, request, a.Decision)
+	return a
+}
+
+// firstEvent notes that the engine has begun to answer.
+func (p *pools) firstEvent(now time.Time, a *assignment) {
+	if a.engine == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a.engine.FirstEvent(now, a.ticket)
+}
+
+// pause notes the time between two events.
+func (p *pools) pause(a *assignment, pause time.Duration) {
+	if a.engine == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a.engine.Pause(a.ticket, pause)
+}
+
+// ended takes the work of an assignment off its upstream. It tells whether the
+// upstream gets no more work because of the outcome.
+func (p *pools) ended(now time.Time, c *call, a *assignment, outcome placement.Outcome, ran bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if a.plain != nil {
+		return a.plain.Ended(now, a.ticket, outcome)
+	}
+	if !ran {
+		p.meter.Receive(now, c.workspaceName(), -a.cost)
+	}
+	return a.engine.Ended(now, a.ticket, outcome)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,308 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/rotisserie/eris"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingshift/lacewingshift/belief"
+	"github.com/lacewingshift/lacewingshift/budget"
+	"github.com/lacewingshift/lacewingshift/event"
+	"github.com/lacewingshift/lacewingshift/fleet"
+	"github.com/lacewingshift/lacewingshift/pause"
+	"github.com/lacewingshift/lacewingshift/peer"
+	"github.com/lacewingshift/lacewingshift/placement"
+	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/stopping"
+)
+
+// ErrListen reports an address that cannot be listened on.
+var ErrListen = eris.New("an address cannot be listened on")
+
+const (
+	// refuseShare and exitMargin place the states of a stopping router in the time
+	// that it is given: callers have learnt of other routers after refuseShare of
+	// it, and it exits exitMargin before it would be killed.
+	refuseShare = 0.375
+	exitMargin  = 350 * time.Millisecond
+	quietTime   = 600 * time.Millisecond
+	stopPoll    = 25 * time.Millisecond
+	// unregisterTimeout bounds the removal of this router's record at its end.
+	unregisterTimeout = 200 * time.Millisecond
+
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 64 << 10
+)
+
+// Options are what a gateway needs beside the platform's settings.
+type Options struct {
+	// MetricsAddress serves /metrics; empty serves none.
+	MetricsAddress string
+}
+
+// Gateway is one router on the platform.
+type Gateway struct {
+	settings  platform.Settings
+	logger    *log.Logger
+	store     *platform.Store
+	feed      *platform.Feed
+	config    *belief.Versioned[platform.Config]
+	upstreams *belief.Versioned[*belief.Roster]
+	pools     *pools
+	exchange  *exchange
+	transport *peer.QUIC
+	handler   *Handler
+	listeners []net.Listener
+	caller    *http.Server
+
+	mu          sync.Mutex
+	machine     *stopping.Machine
+	connections atomic.Int64
+	revision    atomic.Int64 // of this router's record in the store
+	stopOrdered chan struct{}
+	stopOnce    sync.Once
+}
+
+// New opens the listeners and builds the parts. Errors: ErrListen.
+func New(s platform.Settings, options Options, logger *log.Logger) (*Gateway, error) {
+	now := time.Now()
+	g := &Gateway{
+		settings: s, logger: logger, stopOrdered: make(chan struct{}),
+		store:     platform.NewStore(s.StoreAddress),
+		config:    belief.NewVersioned[platform.Config](),
+		upstreams: belief.NewVersioned[*belief.Roster](),
+		machine: stopping.New(stopping.Timing{
+			RefuseAfter: time.Duration(refuseShare * float64(s.Bounds.Grace)),
+			ExitAfter:   s.Bounds.Grace - exitMargin,
+			Quiet:       quietTime,
+		}),
+	}
+	home := placement.Place{DataCentre: s.DataCentre, Region: s.Region}
+	limits := budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
+	g.pools = newPools(home, s.Regions, limits, s.Bounds.ShareWindow, now)
+	if err := g.buildExchange(now); err != nil {
+		return nil, err
+	}
+	g.feed = platform.NewFeed(g.store, g.config, g.upstreams, g.exchange.watches, logger.WithPrefix("store"))
+	g.exchange.feed = g.feed
+	g.handler = &Handler{
+		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), metrics: newRequestMetrics(),
+		stopState: g.state, arrived: g.arrived, services: map[string]*connections{},
+	}
+	g.addGauges()
+	return g, g.listen(options)
+}
+
+func (g *Gateway) addGauges() {
+	m := g.handler.metrics
+	m.gauge("lacewing_requests_in_progress", func() float64 { return float64(g.handler.inProgress.Load()) })
+	m.gauge("lacewing_config_version", func() float64 { return float64(g.config.Get().Version) })
+	m.gauge("lacewing_store_calls", func() float64 { return float64(g.store.Calls()) })
+	m.gauge("lacewing_store_age_seconds", func() float64 { return g.exchange.storeAge(time.Now()).Seconds() })
+	m.gauge("lacewing_routers_ready", func() float64 { return float64(len(g.exchange.ready())) })
+}
+
+func (g *Gateway) buildExchange(now time.Time) error {
+	s := g.settings
+	socket, err := net.ListenPacket("udp", s.PeerAddress)
+	if err != nil {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	identity, err := peer.SelfSigned(s.PeerAddress)
+	if err != nil {
+		return eris.Wrap(err, "peer identity")
+	}
+	self := fleet.Record{
+		Host: s.PeerAddress, Incarnation: uint64(now.UnixMicro()), State: fleet.Starting,
+		CallerAddress: s.CallerAddress, DataCentre: s.DataCentre, Region: s.Region,
+	}
+	g.transport = peer.NewQUIC(s.PeerAddress, identity, event.NewClock(nil), socket)
+	g.exchange = &exchange{
+		transport: g.transport, config: g.config, upstreams: g.upstreams, pools: g.pools,
+		logger: g.logger.WithPrefix("fleet"), urgent: make(chan struct{}, 1),
+		table: fleet.NewTable(self, s.SeedAddresses, now), live: map[string]fleet.State{}, fetching: map[string]bool{},
+	}
+	g.transport.Handle(peer.PartFleet, peer.Receiver{Message: g.exchange.receive, Request: g.exchange.answer})
+	return nil
+}
+
+func (g *Gateway) listen(options Options) error {
+	ready := platform.ReadyHandler(g.ready)
+	lookup := platform.LookupHandler(func(region, dataCentre string) ([]string, time.Duration) {
+		return nearest(g.exchange.ready(), region, dataCentre), min(lookupLifetime, g.settings.Bounds.LookupTTL)
+	})
+	servers := []struct {
+		address string
+		handler http.Handler
+	}{
+		{g.settings.CallerAddress, g.handler},
+		{g.settings.ReadyAddress, ready},
+		{g.settings.LookupAddress, lookup},
+		{options.MetricsAddress, g.handler.metrics},
+	}
+	for _, server := range servers {
+		if server.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", server.address)
+		if err != nil {
+			return eris.Wrapf(ErrListen, "%s: %v", server.address, err)
+		}
+		g.listeners = append(g.listeners, listener)
+		g.serveOn(listener, server.handler)
+	}
+	return nil
+}
+
+// serveOn starts to serve a listener; it ends when the listener's server closes.
+func (g *Gateway) serveOn(listener net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	if g.caller == nil {
+		g.caller = server
+		server.ConnState = g.countConnection
+	}
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+			g.logger.Error("listener failed", "address", listener.Addr(), "err", err)
+		}
+	}()
+}
+
+func (g *Gateway) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		g.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		g.connections.Add(-1)
+	}
+}
+
+// Run serves until ctx ends, then stops within the grace of the settings.
+func (g *Gateway) Run(ctx context.Context) error {
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.exchange.ctx = running
+	if err := g.transport.Start(); err != nil {
+		return eris.Wrap(ErrListen, err.Error())
+	}
+	group, running := errgroup.WithContext(running)
+	group.Go(func() error { return g.exchange.run(running) })
+	group.Go(func() error { return g.feed.RunConfig(running) })
+	group.Go(func() error { return g.feed.RunUpstreams(running) })
+	group.Go(func() error { return g.applyBeliefs(running) })
+	group.Go(func() error { g.register(running); return nil })
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			g.stop(running)
+		case <-running.Done():
+		}
+		cancel()
+		return nil
+	})
+	g.logger.Info("router started", "host", g.settings.Host, "caller", g.settings.CallerAddress,
+		"peer", g.settings.PeerAddress, "store", g.settings.StoreAddress, "seeds", len(g.settings.SeedAddresses))
+	err := group.Wait()
+	g.close()
+	g.logger.Info("router ended", "in_progress", g.handler.inProgress.Load())
+	return err
+}
+
+func (g *Gateway) close() {
+	g.caller.Close()
+	for _, listener := range g.listeners {
+		listener.Close()
+	}
+	if err := g.transport.Close(); err != nil {
+		g.logger.Warn("peer transport closed", "err", err)
+	}
+	g.store.Close()
+}
+
+func (g *Gateway) register(ctx context.Context) {
+	g.exchange.mu.Lock()
+	self := g.exchange.table.Self()
+	g.exchange.mu.Unlock()
+	others, revision, err := g.feed.Register(ctx, g.settings.Host, self)
+	if err != nil {
+		return // the router ended first
+	}
+	g.revision.Store(revision)
+	g.exchange.learn(others)
+}
+
+// applyBeliefs hands new configurations and upstreams to the decisions.
+func (g *Gateway) applyBeliefs(ctx context.Context) error {
+	for {
+		configChanged, upstreamsChanged := g.config.Changed(), g.upstreams.Changed()
+		config, upstreams := g.config.Get(), g.upstreams.Get()
+		if config.Version > 0 && upstreams.Value != nil {
+			g.pools.setBeliefs(config.Value.Table, upstreams.Value.Service, time.Now())
+			if g.state() == stopping.Serving {
+				g.exchange.setState(fleet.Ready)
+			}
+		}
+		g.exchange.hurry()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-configChanged:
+		case <-upstreamsChanged:
+		}
+	}
+}
+
+// ready tells whether callers should be sent here.
+func (g *Gateway) ready() bool {
+	return g.config.Get().Version > 0 && g.upstreams.Get().Value != nil && g.state() == stopping.Serving
+}
+
+func (g *Gateway) state() stopping.State {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.machine.State(time.Now(), int(g.handler.inProgress.Load()), int(g.connections.Load()))
+}
+
+func (g *Gateway) arrived() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.machine.Arrived(time.Now())
+}
+
+// stop takes the router out of the fleet and waits for requests in progress.
+func (g *Gateway) stop(ctx context.Context) {
+	g.mu.Lock()
+	g.machine.Stop(time.Now())
+	g.mu.Unlock()
+	g.exchange.setState(fleet.Leaving)
+	g.logger.Info("router stops", "in_progress", g.handler.inProgress.Load(), "connections", g.connections.Load())
+	go g.unregister()
+	refusing := false
+	for state := g.state(); state != stopping.Done && ctx.Err() == nil; state = g.state() {
+		if state == stopping.Refusing && !refusing {
+			refusing = true
+			g.caller.SetKeepAlivesEnabled(false)
+			g.logger.Info("new requests are refused", "in_progress", g.handler.inProgress.Load(), "connections", g.connections.Load())
+		}
+		_ = pause.For(ctx, stopPoll)
+	}
+}
+
+func (g *Gateway) unregister() {
+	ctx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
+	defer cancel()
+	if err := g.feed.Unregister(ctx, g.settings.Host, g.revision.Load()); err != nil {
+		g.logger.Warn("record of this router stays in the store", "err", err)
+	}
+}
--- /dev/null
+++ b/gateway/handler.go
@@ -0,0 +1,190 @@
+// Package gateway is the path of a request through a router: receive, resolve the
+// route and the workspace, decide on an upstream, send, relay the answer.
+package gateway
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/lacewingshift/lacewingshift/belief"
+	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/stopping"
+)
+
+const (
+	// notReadyRetry is when a caller may come back to a router that knows no
+	// configuration yet, or to another one instead of one that stops.
+	notReadyRetry = 200 * time.Millisecond
+	// defaultPatience is assumed for callers that do not say how long they wait.
+	defaultPatience = 30 * time.Second
+)
+
+// Handler serves the callers.
+type Handler struct {
+	config  *belief.Versioned[platform.Config]
+	pools   *pools
+	logger  *log.Logger
+	metrics *requestMetrics
+	// stopState tells what the router does with new requests.
+	stopState func() stopping.State
+	arrived   func()
+
+	inProgress atomic.Int64
+	mu         sync.Mutex
+	services   map[string]*connections
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.inProgress.Add(1)
+	defer h.inProgress.Add(-1)
+	h.arrived()
+	c := &call{request: r, received: time.Now()}
+	state := h.stopState()
+	if state != stopping.Serving {
+		w.Header().Set("Connection", "close")
+	}
+	if !h.resolve(w, c) {
+		return
+	}
+	if state >= stopping.Refusing {
+		h.refuse(w, c, notReadyRetry, "router stops")
+		return
+	}
+	if !h.readBody(w, c) {
+		return
+	}
+	h.dispatch(w, c)
+}
+
+// resolve finds route and workspace, and answers the request itself if there is
+// none.
+func (h *Handler) resolve(w http.ResponseWriter, c *call) bool {
+	held := h.config.Get()
+	facts, err := platform.ReadCallerRequest(c.request.Header)
+	c.facts, c.version = facts, held.Version
+	if held.Version == 0 {
+		h.refuse(w, c, notReadyRetry, "no configuration known")
+		return false
+	}
+	if err != nil {
+		h.reject(w, c, http.StatusBadRequest, err.Error())
+		return false
+	}
+	patience := facts.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	c.route = held.Value.Match(c.request.Host, c.request.URL.Path)
+	if c.route == nil {
+		h.reject(w, c, http.StatusNotFound, "no route matches host and path")
+		return false
+	}
+	c.deadline = c.received.Add(min(patience, c.route.Timeout))
+	c.workspace = held.Value.Workspace(facts.Key)
+	if c.workspace == nil && held.Value.NeedsKey(c.route) {
+		h.reject(w, c, http.StatusUnauthorized, "key is not known")
+		return false
+	}
+	c.service = held.Value.Service(c.route.Pick(rand.Float64()))
+	if c.service == nil {
+		h.refuse(w, c, time.Second, "route has no service")
+		return false
+	}
+	return true
+}
+
+// readBody reads the whole body, since an attempt at another upstream needs it
+// again.
+func (h *Handler) readBody(w http.ResponseWriter, c *call) bool {
+	limit := h.config.Get().Value.Limits.BodyBytes
+	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, limit))
+	if err == nil {
+		c.body = body
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		h.reject(w, c, http.StatusRequestEntityTooLarge, "body is larger than the limit")
+		return false
+	}
+	w.Header().Set("Connection", "close")
+	h.reject(w, c, http.StatusBadRequest, "body cannot be read: "+err.Error())
+	return false
+}
+
+// refuse answers that the request has not run and when to come back.
+func (h *Handler) refuse(w http.ResponseWriter, c *call, after time.Duration, reason string, details ...any) {
+	c.status = http.StatusServiceUnavailable
+	platform.OwnAnswer(w.Header(), c.facts.ID, after)
+	h.answer(w, c.status, reason)
+	h.metrics.refused.Inc()
+	h.log(c, "request refused", append([]any{"reason", reason, "retry_after", after}, details...)...)
+}
+
+// reject answers a request that is not proper.
+func (h *Handler) reject(w http.ResponseWriter, c *call, status int, reason string) {
+	c.status = status
+	platform.OwnAnswer(w.Header(), c.facts.ID, 0)
+	h.answer(w, status, reason)
+	h.metrics.rejected.Inc()
+	h.log(c, "request rejected", "reason", reason)
+}
+
+// fail answers that the outcome of the request is unknown or that it failed.
+func (h *Handler) fail(w http.ResponseWriter, c *call, status int, reason string, details ...any) {
+	c.status = status
+	platform.OwnAnswer(w.Header(), c.facts.ID, 0)
+	h.answer(w, status, reason)
+	h.metrics.failed.Inc()
+	h.log(c, "request failed", append([]any{"reason", reason}, details...)...)
+}
+
+func (h *Handler) answer(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	// A write error means that the caller has left.
+	_, _ = io.WriteString(w, reason+"\n")
+}
+
+// log writes one line about a request with the inputs that all decisions share.
+func (h *Handler) log(c *call, message string, details ...any) {
+	fields := []any{
+		"request", c.facts.ID, "status", c.status, "config", c.version,
+		"took", time.Since(c.received).Round(time.Millisecond / 10),
+	}
+	if c.route != nil {
+		fields = append(fields, "route", c.route.Name, "workspace", c.workspaceName())
+	}
+	if c.upstream != "" {
+		fields = append(fields, "upstream", c.upstream, "attempts", c.attempts)
+	}
+	h.logger.Info(message, append(fields, details...)...)
+}
+
+func (h *Handler) connections(service string) *connections {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.services[service]
+	if c == nil {
+		c = newConnections()
+		h.services[service] = c
+	}
+	return c
+}
+
+// target is the request target as the caller sent it.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
--- /dev/null
+++ b/gateway/lookup.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/lacewingshift/lacewingshift/fleet"
+)
+
+const (
+	// lookupLifetime is how long callers may keep an answer. Some keep it three
+	// times as long, so a stopping router is forgotten after three seconds.
+	lookupLifetime = time.Second
+	// enoughRouters is the number of near routers from which no farther ones are
+	// named: one may fail while an answer is kept.
+	enoughRouters = 2
+	// maxAddresses is how many addresses callers read.
+	maxAddresses = 64
+)
+
+// nearest returns the addresses of the routers nearest to a caller.
+func nearest(ready []fleet.Record, region, dataCentre string) []string {
+	var inDataCentre, inRegion, all []string
+	for _, r := range ready {
+		all = append(all, r.CallerAddress)
+		if r.Region == region {
+			inRegion = append(inRegion, r.CallerAddress)
+		}
+		if r.DataCentre == dataCentre {
+			inDataCentre = append(inDataCentre, r.CallerAddress)
+		}
+	}
+	for _, near := range [][]string{inDataCentre, inRegion, all} {
+		if len(near) >= enoughRouters {
+			return near[:min(len(near), maxAddresses)]
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/gateway/metrics.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lacewingshift/lacewingshift/catalog"
+)
+
+// requestMetrics count what happened to requests.
+type requestMetrics struct {
+	set            *metrics.Set
+	refused        *metrics.Counter
+	rejected       *metrics.Counter
+	failed         *metrics.Counter
+	broken         *metrics.Counter
+	attemptsFailed *metrics.Counter
+	ended          map[catalog.Kind]*metrics.Counter
+	duration       map[catalog.Kind]*metrics.Histogram
+	firstByte      map[catalog.Kind]*metrics.Histogram
+}
+
+func newRequestMetrics() *requestMetrics {
+	set := metrics.NewSet()
+	m := &requestMetrics{
+		set:            set,
+		refused:        set.NewCounter(`lacewing_requests_refused_total`),
+		rejected:       set.NewCounter(`lacewing_requests_rejected_total`),
+		failed:         set.NewCounter(`lacewing_requests_failed_total`),
+		broken:         set.NewCounter(`lacewing_requests_broken_off_total`),
+		attemptsFailed: set.NewCounter(`lacewing_attempts_failed_total`),
+		ended:          map[catalog.Kind]*metrics.Counter{},
+		duration:       map[catalog.Kind]*metrics.Histogram{},
+		firstByte:      map[catalog.Kind]*metrics.Histogram{},
+	}
+	for _, kind := range []catalog.Kind{catalog.Idempotent, catalog.NonIdempotent, catalog.Stream} {
+		label := `{kind="` + kind.String() + `"}`
+		m.ended[kind] = set.NewCounter(`lacewing_requests_answered_total` + label)
+		m.duration[kind] = set.NewHistogram(`lacewing_request_duration_seconds` + label)
+		m.firstByte[kind] = set.NewHistogram(`lacewing_first_byte_seconds` + label)
+	}
+	return m
+}
+
+// answered counts a request that an upstream has answered.
+func (m *requestMetrics) answered(c *call) {
+	m.ended[c.route.Kind].Inc()
+	m.duration[c.route.Kind].Update(time.Since(c.received).Seconds())
+	m.firstByte[c.route.Kind].Update(c.firstByte.Seconds())
+}
+
+// gauge adds a value that is read when the metrics are served.
+func (m *requestMetrics) gauge(name string, value func() float64) { m.set.NewGauge(name, value) }
+
+// ServeHTTP implements http.Handler.
+func (m *requestMetrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) { m.set.WritePrometheus(w) }
--- /dev/null
+++ b/gateway/pools.go
@@ -0,0 +1,173 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lacewingshift/lacewingshift/budget"
+	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/fairshare"
+	"github.com/lacewingshift/lacewingshift/fleet"
+	"github.com/lacewingshift/lacewingshift/placement"
+)
+
+// pools are the decisions' state for all services behind one lock: a decision
+// takes microseconds. It is safe for concurrent use.
+type pools struct {
+	mu        sync.Mutex
+	home      placement.Place
+	regions   map[string]string
+	limits    budget.Limits
+	window    time.Duration
+	engines   map[string]*placement.Pool
+	plains    map[string]*placement.PlainPool
+	repeats   map[string]*budget.Window
+	meter     *fairshare.Meter
+	remoteUse map[string]fairshare.Use
+	remote    map[string]budget.Counts
+	heard     int
+	known     int
+	level     float64
+	capacity  float64 // tokens within the window
+	remoteAt  time.Time
+}
+
+func newPools(home placement.Place, regions map[string]string, limits budget.Limits, window time.Duration, now time.Time) *pools {
+	return &pools{
+		home: home, regions: regions, limits: limits, window: window,
+		engines: map[string]*placement.Pool{}, plains: map[string]*placement.PlainPool{},
+		repeats: map[string]*budget.Window{}, meter: fairshare.NewMeter(window, now),
+	}
+}
+
+// setBeliefs takes the services of a configuration and the upstreams.
+func (p *pools) setBeliefs(table *catalog.Table, upstreams func(service string) []catalog.Upstream, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.capacity = table.Limits.TokensPerSecond * p.window.Seconds()
+	for _, service := range table.Services() {
+		list := upstreams(service.Name)
+		if service.Engine == nil {
+			p.plain(service.Name).SetUpstreams(list)
+			continue
+		}
+		pool := p.engines[service.Name]
+		if pool == nil {
+			pool = placement.NewPool(placement.DefaultEnginePolicy(), p.home, p.regions, uint64(now.UnixNano()))
+			p.engines[service.Name] = pool
+		}
+		pool.SetUpstreams(list, *service.Engine, table.Limits.TokensPerSecond)
+	}
+}
+
+func (p *pools) plain(service string) *placement.PlainPool {
+	pool := p.plains[service]
+	if pool == nil {
+		pool = placement.NewPlainPool(placement.DefaultPlainPolicy(), p.home, p.regions, 0)
+		p.plains[service] = pool
+	}
+	return pool
+}
+
+func (p *pools) budget(service string, now time.Time) *budget.Window {
+	w := p.repeats[service]
+	if w == nil {
+		w = budget.NewWindow(p.limits, now)
+		p.repeats[service] = w
+	}
+	return w
+}
+
+// fill adds this router's loads, uses and repeats to a report.
+func (p *pools) fill(now time.Time, r *fleet.Report) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.engines {
+		r.Loads = append(r.Loads, pool.Loads(now)...)
+	}
+	for _, pool := range p.plains {
+		r.Loads = append(r.Loads, pool.Loads(now)...)
+	}
+	r.Uses = p.meter.Sums(now)
+	r.Repeats = make(map[string]budget.Counts, len(p.repeats))
+	for service, w := range p.repeats {
+		if sum := w.Sum(now); sum != (budget.Counts{}) {
+			r.Repeats[service] = sum
+		}
+	}
+}
+
+// setRemote takes the latest reports of the other routers.
+func (p *pools) setRemote(now time.Time, reports []*fleet.Report, known int) {
+	loads := map[string]placement.Load{}
+	failing := map[string]int{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.remoteUse = map[string]fairshare.Use{}
+	p.remote = map[string]budget.Counts{}
+	for _, r := range reports {
+		for _, load := range r.Loads {
+			sum := loads[load.Upstream]
+			sum.WaitingTokens += load.WaitingTokens
+			sum.Requests += load.Requests
+			sum.MemoryTokens += load.MemoryTokens
+			loads[load.Upstream] = sum
+			if load.Failing {
+				failing[load.Upstream]++
+			}
+		}
+		for workspace, use := range r.Uses {
+			p.remoteUse[workspace] = p.remoteUse[workspace].Add(use)
+		}
+		for service, counts := range r.Repeats {
+			sum := p.remote[service]
+			sum.Requests += counts.Requests
+			sum.Repeats += counts.Repeats
+			p.remote[service] = sum
+		}
+	}
+	p.heard, p.known, p.remoteAt = len(reports), known, now
+	for _, pool := range p.engines {
+		pool.SetRemote(loads, failing)
+	}
+	for _, pool := range p.plains {
+		pool.SetRemote(loads, failing)
+	}
+	p.computeLevel(now)
+}
+
+// computeLevel works out the share of one workspace from what all have asked for.
+func (p *pools) computeLevel(now time.Time) {
+	uses := p.meter.Sums(now)
+	for workspace, use := range p.remoteUse {
+		uses[workspace] = uses[workspace].Add(use)
+	}
+	asked := make([]float64, 0, len(uses))
+	for _, use := range uses {
+		asked = append(asked, use.Asked)
+	}
+	p.level = fairshare.Level(asked, p.capacity)
+}
+
+// usage returns what a workspace has received as a part of its share.
+func (p *pools) usage(now time.Time, workspace string, cost float64) float64 {
+	if p.level <= 0 {
+		return 0
+	}
+	received := p.meter.Sums(now)[workspace].Received + p.remoteUse[workspace].Received
+	return (received + cost/2) / p.level
+}
+
+// repeat asks the fleet's budget for one more send of a request.
+func (p *pools) repeat(now time.Time, service string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget(service, now).Repeat(now, budget.Fleet{Counts: p.remote[service], Heard: p.heard, Known: p.known})
+}
+
+// first counts the first send of a request.
+func (p *pools) first(now time.Time, service string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget(service, now).Request(now)
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -24,10 +24,11 @@
 	PartConfig
 	PartIntent
 	PartEntry
+	PartFleet
 )
 
 // partNames are the labels of the parts in metrics.
-var partNames = [...]string{PartCell: "cell", PartMember: "member", PartConfig: "config", PartIntent: "intent", PartEntry: "entry"}
+var partNames = [...]string{PartCell: "cell", PartMember: "member", PartConfig: "config", PartIntent: "intent", PartEntry: "entry", PartFleet: "fleet"}
 
 // Transport sends messages to other routers by host id. It is safe for
 // concurrent use.
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -33,7 +33,9 @@
 	maxStreams = 256
 )
 
-// Identity is the certificate of this host and the authority of the fleet.
+// Identity is the certificate of this host and the authority of the fleet. Without
+// an authority connections are encrypted but peers are believed the host id that
+// they name, for networks that only routers can reach.
 type Identity struct {
 	Certificate tls.Certificate
 	Authority   *x509.CertPool
@@ -319,13 +321,17 @@
 }
 
 func (q *QUIC) serverTLS() *tls.Config {
-	return &tls.Config{
+	c := &tls.Config{
 		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{q.identity.Certificate},
 		ClientAuth:   tls.RequireAndVerifyClientCert,
 		ClientCAs:    q.identity.Authority,
 		NextProtos:   []string{protocolName},
 	}
+	if q.identity.Authority == nil {
+		c.ClientAuth = tls.RequireAnyClientCert
+	}
+	return c
 }
 
 func (q *QUIC) clientTLS(host string) *tls.Config {
@@ -335,14 +341,20 @@
 		RootCAs:      q.identity.Authority,
 		ServerName:   host,
 		NextProtos:   []string{protocolName},
+		// Without an authority there is nothing to verify against.
+		InsecureSkipVerify: q.identity.Authority == nil,
 	}
 }
 
-// peerName returns the host id that the peer's verified certificate names.
+// peerName returns the host id that the peer's certificate names. Self-signed
+// certificates name an address, which is no DNS name, as their subject.
 func peerName(conn *quic.Conn) string {
 	certificates := conn.ConnectionState().TLS.PeerCertificates
-	if len(certificates) == 0 || len(certificates[0].DNSNames) == 0 {
+	if len(certificates) == 0 {
 		return ""
 	}
-	return certificates[0].DNSNames[0]
+	if names := certificates[0].DNSNames; len(names) > 0 {
+		return names[0]
+	}
+	return certificates[0].Subject.CommonName
 }
--- /dev/null
+++ b/placement/engine.go
@@ -0,0 +1,475 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/lacewingshift/lacewingshift/catalog"
+)
+
+const (
+	// partMemory is how long a prompt part is taken to stay cached after its
+	// latest use.
+	partMemory = 20 * time.Second
+	// maxParts bounds the remembered parts of one upstream.
+	maxParts = 4096
+	// rateWeight is the weight of one sample of the reading rate.
+	rateWeight = 0.1
+	// rateSampleTokens is the least waiting work that gives a sample of the
+	// reading rate; the time of less is mostly set-up.
+	rateSampleTokens = 2000
+	// gapWeight is the weight of one pause between events.
+	gapWeight = 0.05
+	// priorShare is the assumed reading rate of an engine before there are
+	// samples, as a multiple of its part of the fleet's tokens per second. An
+	// engine reads faster than it produces over all.
+	priorShare = 1.6
+	// rateRange bounds samples around the prior.
+	rateRange = 4.0
+)
+
+// EnginePolicy are the weights and limits of the decision.
+type EnginePolicy struct {
+	// Full is the part of the target that the predicted wait of a request within
+	// its workspace's share may take; Spare is that part for requests beyond it,
+	// which only use capacity that is left over.
+	Full, Spare float64
+	// Reread weighs a prompt token that an upstream reads although another one
+	// holds it, beyond the time that reading takes.
+	Reread float64
+	// OtherRegion and OtherDataCentre are the waits that staying near is worth.
+	OtherRegion, OtherDataCentre time.Duration
+	// GapLimit is the part of the target for pauses that an upstream's pauses may
+	// take before it gets no more prompts to read.
+	GapLimit float64
+	// SlotLimit and MemoryLimit are the parts of slots and memory that are used.
+	SlotLimit, MemoryLimit float64
+}
+
+// DefaultEnginePolicy returns the policy of the daemon.
+func DefaultEnginePolicy() EnginePolicy {
+	return EnginePolicy{
+		Full: 0.6, Spare: 0.15, Reread: 3, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
+		GapLimit: 0.9, SlotLimit: 1, MemoryLimit: 0.9,
+	}
+}
+
+// Part is a piece of a prompt that may be cached.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// EngineRequest is what the decision needs to know of a request.
+type EngineRequest struct {
+	Parts []Part
+	// Prompt and Output are tokens; Output is an estimate.
+	Prompt, Output int
+	Target         time.Duration
+	GapTarget      time.Duration
+	// Usage is what the workspace has received as a part of its share; 1 and more
+	// is beyond it.
+	Usage float64
+	// Exclude are upstreams that the request was sent to before.
+	Exclude []string
+}
+
+// Pool is the engines of one service as one router sees them.
+type Pool struct {
+	policy  EnginePolicy
+	engine  catalog.Engine
+	home    Place
+	regions map[string]string // region by data centre
+	engines map[string]*engine
+	order   []*engine
+	prior   float64 // tokens per ms
+	usual   float64 // failure ratio of the service
+	seen    map[uint64]time.Time
+	rng     *rand.Rand
+}
+
+// engine is the state of one upstream.
+type engine struct {
+	upstream catalog.Upstream
+	own      Load
+	remote   Load
+	others   int     // routers that find it failing
+	rate     float64 // prompt tokens per ms; 0 before the first sample
+	gap      float64 // moving mean pause between events in ms
+	health   health
+	parts    map[uint64]time.Time // latest use by chain hash
+}
+
+// Ticket is the work of one request at one engine until it ends.
+type Ticket struct {
+	Upstream catalog.Upstream
+	Read     int
+	memory   int
+	ahead    int // waiting tokens of others at the send
+	sent     time.Time
+	waiting  bool
+}
+
+// NewPool returns a pool without engines.
+func NewPool(policy EnginePolicy, home Place, regions map[string]string, seed uint64) *Pool {
+	return &Pool{
+		policy: policy, home: home, regions: regions, engines: map[string]*engine{},
+		seen: map[uint64]time.Time{}, rng: rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// SetUpstreams replaces the engines. Those that stay keep their state.
+// tokensPerSecond is what all of them produce together.
+func (p *Pool) SetUpstreams(upstreams []catalog.Upstream, description catalog.Engine, tokensPerSecond float64) {
+	p.engine = description
+	p.prior = priorShare * tokensPerSecond / 1000 / float64(max(len(upstreams), 1))
+	current := make(map[string]*engine, len(upstreams))
+	p.order = p.order[:0]
+	for _, u := range upstreams {
+		e := p.engines[u.ID]
+		if e == nil || !e.upstream.SameInstance(u) {
+			e = &engine{parts: map[uint64]time.Time{}}
+		}
+		e.upstream = u
+		current[u.ID] = e
+		p.order = append(p.order, e)
+	}
+	p.engines = current
+}
+
+// SetRemote replaces the loads of the other routers.
+func (p *Pool) SetRemote(loads map[string]Load, failing map[string]int) {
+	for id, e := range p.engines {
+		e.remote = loads[id]
+		e.others = failing[id]
+	}
+}
+
+// Loads returns this router's own loads.
+func (p *Pool) Loads(now time.Time) []Load {
+	var loads []Load
+	for _, e := range p.order {
+		own := e.own
+		own.Failing = e.health.pause > 0
+		if own != (Load{}) {
+			own.Upstream = e.upstream.ID
+			loads = append(loads, own)
+		}
+	}
+	return loads
+}
+
+// chain returns the hashes of the prompt's parts, each over all parts up to it.
+func chain(parts []Part) []uint64 {
+	hashes := make([]uint64, len(parts))
+	digest := xxhash.New()
+	for i, part := range parts {
+		_, _ = digest.WriteString(part.ID)
+		_, _ = digest.WriteString(",")
+		hashes[i] = digest.Sum64()
+	}
+	return hashes
+}
+
+// candidate is an engine with its figures for one request.
+type candidate struct {
+	engine *engine
+	read   int
+	wait   float64 // ms to the first event
+	cost   float64 // ms, what is compared
+	rank   int
+}
+
+// Place chooses the engine for a request.
+func (p *Pool) Place(now time.Time, r EngineRequest) Decision {
+	hashes := chain(r.Parts)
+	homes := p.homes(hashes)
+	known := p.known(now, hashes)
+	panicking := p.mostFailing(now)
+	limit := p.limit(r)
+	var best, shortest *candidate
+	usable := false
+	for _, e := range p.order {
+		if e.upstream.Leaving || excluded(r.Exclude, e.upstream.ID) {
+			continue
+		}
+		if !panicking && (!e.health.usable(now) || e.others >= 2) {
+			continue
+		}
+		usable = true
+		c := p.weigh(now, e, r, hashes, homes, known)
+		if shortest == nil || c.wait < shortest.wait {
+			shortest = &c
+		}
+		if c.wait > limit || !p.hasRoom(e, r) {
+			continue
+		}
+		if best == nil || c.cost < best.cost {
+			best = &c
+		}
+	}
+	if !usable {
+		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
+	}
+	if best == nil {
+		return p.refuse(r, shortest, limit)
+	}
+	return Decision{
+		Upstream: best.engine.upstream, Read: best.read, Rank: best.rank,
+		Wait: time.Duration(best.wait * float64(time.Millisecond)),
+	}
+}
+
+// limit is the longest acceptable wait in ms. It shrinks as the workspace comes
+// to the end of its share, so that those who have received least go first.
+func (p *Pool) limit(r EngineRequest) float64 {
+	target := float64(r.Target) / float64(time.Millisecond)
+	if r.Usage >= 1 {
+		return target * p.policy.Spare
+	}
+	return target * p.policy.Full
+}
+
+func (p *Pool) refuse(r EngineRequest, shortest *candidate, limit float64) Decision {
+	reason := Overloaded
+	if r.Usage >= 1 {
+		reason = OverShare
+	}
+	over := max(shortest.wait-limit, 0)
+	wait := time.Duration(over*float64(time.Millisecond)) + shortestReturn
+	return Decision{Reason: reason, RetryAfter: spread(p.rng, wait), Wait: time.Duration(shortest.wait * float64(time.Millisecond))}
+}
+
+// shortestReturn is the least time after which a refused caller may come back:
+// about the time in which an engine ends a tenth of what it runs.
+const shortestReturn = 300 * time.Millisecond
+
+// spread returns a time between d and twice d, so that callers that were refused
+// together do not come back together.
+func spread(rng *rand.Rand, d time.Duration) time.Duration {
+	return d + time.Duration(rng.Float64()*float64(d))
+}
+
+// homes returns for each part of the chain the engine that all routers send it
+// to first.
+func (p *Pool) homes(hashes []uint64) []*engine {
+	homes := make([]*engine, len(hashes))
+	for i, hash := range hashes {
+		var highest uint64
+		for _, e := range p.order {
+			if e.upstream.Leaving {
+				continue
+			}
+			if weight := rendezvous(hash, e.upstream.ID); homes[i] == nil || weight > highest {
+				homes[i], highest = e, weight
+			}
+		}
+	}
+	return homes
+}
+
+// known tells for each part whether this router has seen it lately.
+func (p *Pool) known(now time.Time, hashes []uint64) []bool {
+	known := make([]bool, len(hashes))
+	for i, hash := range hashes {
+		at, ok := p.seen[hash]
+		known[i] = ok && now.Sub(at) < partMemory
+	}
+	return known
+}
+
+// weigh works out what the request would find at an engine.
+func (p *Pool) weigh(now time.Time, e *engine, r EngineRequest, hashes []uint64, homes []*engine, known []bool) candidate {
+	read, again, held := 0, 0, true
+	for i, part := range r.Parts {
+		at, used := e.parts[hashes[i]]
+		held = held && (used && now.Sub(at) < partMemory || known[i] && homes[i] == e)
+		if held {
+			continue
+		}
+		read += part.Tokens
+		if i < len(r.Parts)-1 {
+			again += part.Tokens
+		}
+	}
+	if len(r.Parts) == 0 {
+		read = r.Prompt
+	}
+	rate := p.rate(e)
+	load := e.own.plus(e.remote)
+	wait := float64(load.WaitingTokens+read) / rate
+	cost := wait + p.policy.Reread*float64(again)/rate + p.distance(e)
+	cost *= 1 + e.health.failures
+	rank := 1
+	if len(homes) > 1 && homes[len(homes)-2] == e {
+		rank = 0
+	}
+	if e.others > 0 {
+		cost *= 2
+	}
+	return candidate{engine: e, read: read, wait: wait, cost: cost, rank: rank}
+}
+
+func (p *Pool) distance(e *engine) float64 {
+	switch {
+	case e.upstream.DataCentre == p.home.DataCentre:
+		return 0
+	case p.regions[e.upstream.DataCentre] == p.home.Region:
+		return float64(p.policy.OtherDataCentre) / float64(time.Millisecond)
+	default:
+		return float64(p.policy.OtherRegion) / float64(time.Millisecond)
+	}
+}
+
+// rate is the reading rate of an engine in tokens per ms.
+func (p *Pool) rate(e *engine) float64 {
+	if e.rate > 0 {
+		return e.rate
+	}
+	return max(p.prior, 1)
+}
+
+// hasRoom tells whether slots, memory and the pace of running streams allow one
+// more request.
+func (p *Pool) hasRoom(e *engine, r EngineRequest) bool {
+	load := e.own.plus(e.remote)
+	if p.engine.Slots > 0 && float64(load.Requests) >= p.policy.SlotLimit*float64(p.engine.Slots) {
+		return false
+	}
+	memory := float64(load.MemoryTokens + r.Prompt + r.Output)
+	if p.engine.MemoryTokens > 0 && memory > p.policy.MemoryLimit*float64(p.engine.MemoryTokens) {
+		return false
+	}
+	gapLimit := p.policy.GapLimit * float64(r.GapTarget) / float64(time.Millisecond)
+	return gapLimit == 0 || e.gap < gapLimit || load.WaitingTokens == 0
+}
+
+func (p *Pool) mostFailing(now time.Time) bool {
+	failing := 0
+	for _, e := range p.order {
+		if !e.health.usable(now) || e.others >= 2 {
+			failing++
+		}
+	}
+	return 2*failing > len(p.order)
+}
+
+// Sent notes that a request goes to the engine of a decision.
+func (p *Pool) Sent(now time.Time, r EngineRequest, d Decision) *Ticket {
+	t := &Ticket{Upstream: d.Upstream, Read: d.Read, memory: r.Prompt + r.Output, sent: now, waiting: true}
+	for _, hash := range chain(r.Parts) {
+		p.seen[hash] = now
+	}
+	e := p.find(t)
+	if e == nil {
+		return t
+	}
+	t.ahead = e.own.WaitingTokens + e.remote.WaitingTokens
+	e.own.WaitingTokens += t.Read
+	e.own.Requests++
+	e.own.MemoryTokens += t.memory
+	e.health.sent()
+	for _, hash := range chain(r.Parts) {
+		e.parts[hash] = now
+	}
+	if len(e.parts) > maxParts {
+		forget(e.parts, now)
+	}
+	if len(p.seen) > maxParts {
+		forget(p.seen, now)
+	}
+	return t
+}
+
+// forget drops parts that are no longer taken to be cached, and half of the
+// others if that was not enough.
+func forget(parts map[uint64]time.Time, now time.Time) {
+	for hash, at := range parts {
+		if now.Sub(at) >= partMemory || len(parts) > maxParts/2 {
+			delete(parts, hash)
+		}
+	}
+}
+
+func (p *Pool) find(t *Ticket) *engine {
+	e := p.engines[t.Upstream.ID]
+	if e == nil || !e.upstream.SameInstance(t.Upstream) {
+		return nil
+	}
+	return e
+}
+
+// FirstEvent notes that the engine has read the prompt.
+func (p *Pool) FirstEvent(now time.Time, t *Ticket) {
+	e := p.find(t)
+	if e == nil || !t.waiting {
+		return
+	}
+	t.waiting = false
+	e.own.WaitingTokens -= t.Read
+	work := float64(t.ahead + t.Read)
+	took := float64(now.Sub(t.sent)) / float64(time.Millisecond)
+	if work < rateSampleTokens || took <= 0 {
+		return
+	}
+	sample := min(max(work/took, p.prior/rateRange), p.prior*rateRange)
+	if e.rate == 0 {
+		e.rate = max(p.prior, 1)
+	}
+	e.rate = ewma(e.rate, sample, rateWeight)
+}
+
+// Pause notes the time between two events of a stream.
+func (p *Pool) Pause(t *Ticket, pause time.Duration) {
+	if e := p.find(t); e != nil {
+		e.gap = ewma(e.gap, float64(pause)/float64(time.Millisecond), gapWeight)
+	}
+}
+
+// Outcome tells how a request ended at an upstream.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Succeeded   Outcome = iota + 1
+	Failed              // an error, or an answer that cannot be used
+	Rejected            // the upstream had no room
+	Unreachable         // no connection
+	Abandoned           // ended by the caller or this router
+)
+
+// Ended removes the request's load and learns from its outcome. It tells whether
+// the engine gets no more work because of it.
+func (p *Pool) Ended(now time.Time, t *Ticket, outcome Outcome) bool {
+	e := p.find(t)
+	if e == nil {
+		return false
+	}
+	if t.waiting {
+		t.waiting = false
+		e.own.WaitingTokens -= t.Read
+	}
+	e.own.Requests--
+	e.own.MemoryTokens -= t.memory
+	return settle(&e.health, &p.usual, now, outcome)
+}
+
+// settle updates the health of an upstream and the usual failure ratio of its
+// service.
+func settle(h *health, usual *float64, now time.Time, outcome Outcome) bool {
+	switch outcome {
+	case Succeeded:
+		*usual = ewma(*usual, 0, usualWeight)
+		h.succeeded()
+	case Failed, Rejected:
+		*usual = ewma(*usual, 1, usualWeight)
+		return h.failed(now, *usual)
+	case Unreachable:
+		return h.unreachable(now)
+	default:
+		h.abandoned()
+	}
+	return false
+}
--- /dev/null
+++ b/placement/health.go
@@ -0,0 +1,87 @@
+package placement
+
+import "time"
+
+const (
+	// failureWeight makes three failures in a row after successes cross
+	// failureLimit.
+	failureWeight = 0.3
+	// failureLimit is the failure ratio above which an upstream gets no work.
+	failureLimit = 0.45
+	// failureMultiple spares upstreams that fail no more than this times the
+	// service's usual ratio, as services answer part of their requests with errors.
+	failureMultiple = 2.5
+	// firstPause and longestPause are how long a failing upstream gets no work
+	// before one request tries it; it doubles with each failed try.
+	firstPause   = time.Second
+	longestPause = 4 * time.Second
+	// usualWeight is the weight of one outcome in the service's usual ratio.
+	usualWeight = 0.02
+)
+
+// health is what one router has seen of the outcomes at one upstream.
+type health struct {
+	failures float64 // moving ratio
+	pause    time.Duration
+	until    time.Time // no work before
+	trying   bool      // one request is trying the upstream
+}
+
+// usable tells whether the upstream may get work.
+func (h *health) usable(now time.Time) bool {
+	if h.pause == 0 {
+		return true
+	}
+	return !now.Before(h.until) && !h.trying
+}
+
+// sent notes that a request goes to the upstream.
+func (h *health) sent() {
+	if h.pause > 0 {
+		h.trying = true
+	}
+}
+
+// succeeded notes a good outcome.
+func (h *health) succeeded() {
+	h.failures = ewma(h.failures, 0, failureWeight)
+	h.trying = false
+	if h.pause > 0 {
+		h.pause = 0
+		h.failures = 0
+	}
+}
+
+// failed notes a failure; usual is the failure ratio of the whole service. It
+// tells whether the upstream is now paused and was not before.
+func (h *health) failed(now time.Time, usual float64) bool {
+	h.failures = ewma(h.failures, 1, failureWeight)
+	if h.pause > 0 {
+		h.extend(now)
+		return false
+	}
+	if h.failures < max(failureLimit, min(failureMultiple*usual, 0.95)) {
+		return false
+	}
+	h.extend(now)
+	return true
+}
+
+// unreachable notes that no connection could be made. It tells whether the
+// upstream is now paused and was not before.
+func (h *health) unreachable(now time.Time) bool {
+	first := h.pause == 0
+	h.failures = 1
+	h.extend(now)
+	return first
+}
+
+// abandoned notes that a request ended without an outcome, such as when its
+// caller left.
+func (h *health) abandoned() { h.trying = false }
+
+func (h *health) extend(now time.Time) {
+	h.trying = false
+	h.pause = min(max(2*h.pause, firstPause), longestPause)
+	h.until = now.Add(h.pause)
+}
--- /dev/null
+++ b/placement/plain.go
@@ -0,0 +1,203 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/lacewingshift/lacewingshift/catalog"
+)
+
+const (
+	// timeWeight is the weight of one answer in the moving mean of answer times.
+	timeWeight = 0.1
+	// priorTime is the answer time that is assumed before there are samples.
+	priorTime = 50 * time.Millisecond
+)
+
+// PlainPolicy are the weights and limits for plain services.
+type PlainPolicy struct {
+	// Full is the part of the time left that the predicted wait may take.
+	Full float64
+	// OtherRegion and OtherDataCentre are the waits that staying near is worth.
+	OtherRegion, OtherDataCentre time.Duration
+}
+
+// DefaultPlainPolicy returns the policy of the daemon.
+func DefaultPlainPolicy() PlainPolicy {
+	return PlainPolicy{Full: 0.5, OtherRegion: 16 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond}
+}
+
+// PlainRequest is what the decision needs to know of a request to a plain
+// service.
+type PlainRequest struct {
+	// Left is the time until the caller's deadline.
+	Left time.Duration
+	// Exclude are upstreams that the request was sent to before.
+	Exclude []string
+}
+
+// PlainPool is the upstreams of one plain service as one router sees them.
+type PlainPool struct {
+	policy  PlainPolicy
+	home    Place
+	regions map[string]string
+	plains  map[string]*plain
+	order   []*plain
+	usual   float64
+	rng     *rand.Rand
+}
+
+type plain struct {
+	upstream catalog.Upstream
+	own      int
+	remote   int
+	others   int
+	time     float64 // moving mean of answer times in ms; 0 before the first
+	health   health
+}
+
+// NewPlainPool returns a pool without upstreams.
+func NewPlainPool(policy PlainPolicy, home Place, regions map[string]string, seed uint64) *PlainPool {
+	return &PlainPool{
+		policy: policy, home: home, regions: regions, plains: map[string]*plain{},
+		rng: rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+// SetUpstreams replaces the upstreams. Those that stay keep their state.
+func (p *PlainPool) SetUpstreams(upstreams []catalog.Upstream) {
+	current := make(map[string]*plain, len(upstreams))
+	p.order = p.order[:0]
+	for _, u := range upstreams {
+		s := p.plains[u.ID]
+		if s == nil || !s.upstream.SameInstance(u) {
+			s = &plain{}
+		}
+		s.upstream = u
+		current[u.ID] = s
+		p.order = append(p.order, s)
+	}
+	p.plains = current
+}
+
+// SetRemote replaces the loads of the other routers.
+func (p *PlainPool) SetRemote(loads map[string]Load, failing map[string]int) {
+	for id, s := range p.plains {
+		s.remote = loads[id].Requests
+		s.others = failing[id]
+	}
+}
+
+// Loads returns this router's own loads.
+func (p *PlainPool) Loads(now time.Time) []Load {
+	var loads []Load
+	for _, s := range p.order {
+		load := Load{Requests: s.own, Failing: s.health.pause > 0}
+		if load != (Load{}) {
+			load.Upstream = s.upstream.ID
+			loads = append(loads, load)
+		}
+	}
+	return loads
+}
+
+// Place chooses the upstream with the shortest predicted answer time.
+func (p *PlainPool) Place(now time.Time, r PlainRequest) Decision {
+	panicking := p.mostFailing(now)
+	var best *plain
+	var bestCost, bestTime float64
+	for _, s := range p.order {
+		if s.upstream.Leaving || excluded(r.Exclude, s.upstream.ID) {
+			continue
+		}
+		if !panicking && (!s.health.usable(now) || s.others >= 2) {
+			continue
+		}
+		predicted := s.predict()
+		cost := (predicted + p.distance(s)) * (1 + s.health.failures + float64(s.others))
+		// A small random part keeps routers from choosing alike on equal reports.
+		cost *= 1 + 0.1*p.rng.Float64()
+		if best == nil || cost < bestCost {
+			best, bestCost, bestTime = s, cost, predicted
+		}
+	}
+	if best == nil {
+		return Decision{Reason: NoUpstream, RetryAfter: firstPause}
+	}
+	wait := time.Duration(bestTime * float64(time.Millisecond))
+	if float64(wait) > p.policy.Full*float64(r.Left) {
+		over := wait - time.Duration(p.policy.Full*float64(r.Left))
+		return Decision{Reason: Overloaded, RetryAfter: spread(p.rng, over+shortestReturn), Wait: wait}
+	}
+	return Decision{Upstream: best.upstream, Wait: wait}
+}
+
+// predict returns the answer time in ms that one more request would see.
+func (s *plain) predict() float64 {
+	mean := s.time
+	if mean == 0 {
+		mean = float64(priorTime) / float64(time.Millisecond)
+	}
+	slots := max(s.upstream.Slots, 1)
+	requests := s.own + s.remote + 1
+	// Half of the slots busy already costs some waiting, as work times vary.
+	queue := float64(requests) / float64(slots)
+	return mean * max(1, queue) * (1 + 0.5*min(queue, 1))
+}
+
+func (p *PlainPool) distance(s *plain) float64 {
+	switch {
+	case s.upstream.DataCentre == p.home.DataCentre:
+		return 0
+	case p.regions[s.upstream.DataCentre] == p.home.Region:
+		return float64(p.policy.OtherDataCentre) / float64(time.Millisecond)
+	default:
+		return float64(p.policy.OtherRegion) / float64(time.Millisecond)
+	}
+}
+
+func (p *PlainPool) mostFailing(now time.Time) bool {
+	failing := 0
+	for _, s := range p.order {
+		if !s.health.usable(now) || s.others >= 2 {
+			failing++
+		}
+	}
+	return 2*failing > len(p.order)
+}
+
+// Sent notes that a request goes to an upstream.
+func (p *PlainPool) Sent(now time.Time, upstream catalog.Upstream) *Ticket {
+	t := &Ticket{Upstream: upstream, sent: now}
+	if s := p.find(t); s != nil {
+		s.own++
+		s.health.sent()
+	}
+	return t
+}
+
+// Ended removes the request's load and learns from its outcome. It tells whether
+// the upstream gets no more work because of it.
+func (p *PlainPool) Ended(now time.Time, t *Ticket, outcome Outcome) bool {
+	s := p.find(t)
+	if s == nil {
+		return false
+	}
+	s.own--
+	if outcome == Succeeded {
+		took := float64(now.Sub(t.sent)) / float64(time.Millisecond)
+		if s.time == 0 {
+			s.time = took
+		}
+		s.time = ewma(s.time, took, timeWeight)
+	}
+	return settle(&s.health, &p.usual, now, outcome)
+}
+
+func (p *PlainPool) find(t *Ticket) *plain {
+	s := p.plains[t.Upstream.ID]
+	if s == nil || !s.upstream.SameInstance(t.Upstream) {
+		return nil
+	}
+	return s
+}
