placement: keep capacity beyond the shares back, agree on a prompt's home engine

Cause: half of the admitted requests were beyond their workspace's share of tokens. The home of a prompt was also missed, because every part of the chain was looked up on its own. Change: one order of engines by the last shared part; parts read again count against the limit; requests beyond the share run only where no prompt waits and under a fifth of the slots is taken. Conclusion: the fair share is the first filter, the engine's queue the second.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -31,7 +31,8 @@
 	started   bool
 	lastEvent string // id of the last event that was passed on
 	events    int
-	latest    time.Time // of the last event
+	latest    time.Time     // of the last event
+	pause     time.Duration // longest between two events
 }
 
 func newRelay(w http.ResponseWriter, c *call) *relay {
@@ -128,7 +129,9 @@
 	h.pools.firstEvent(now, a)
 	out.note(events)
 	if !out.latest.IsZero() && len(events) > 0 {
-		h.pools.pause(a, now.Sub(out.latest))
+		pause := now.Sub(out.latest)
+		out.pause = max(out.pause, pause)
+		h.pools.pause(a, pause)
 	}
 	out.latest = now
 	if _, err := out.w.Write(events); err != nil {
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,16 +28,23 @@
 	// samples, as a multiple of its part of the fleet's tokens per second. An
 	// engine reads faster than it produces over all.
 	priorShare = 1.6
+	// secondPreference is the factor on the cost of the second engine in the order
+	// for a prompt.
+	secondPreference = 0.8
 	// rateRange bounds samples around the prior.
 	rateRange = 4.0
 )
 
 // EnginePolicy are the weights and limits of the decision.
 type EnginePolicy struct {
-	// Full is the part of the target that the predicted wait of a request within
-	// its workspace's share may take; Spare is that part for requests beyond it,
-	// which only use capacity that is left over.
+	// Full is the part of the target that the wait for prompts ahead may take for a
+	// request within its workspace's share; Spare is that part for requests beyond
+	// it, which only use capacity that is left over. The time that the request's own
+	// prompt takes does not count, or the largest prompts would never run.
 	Full, Spare float64
+	// SpareSlots is the part of the slots up to which an engine takes requests
+	// beyond their workspace's share.
+	SpareSlots float64
 	// Reread weighs a prompt token that an upstream reads although another one
 	// holds it, beyond the time that reading takes.
 	Reread float64
@@ -51,7 +60,7 @@
 // DefaultEnginePolicy returns the policy of the daemon.
 func DefaultEnginePolicy() EnginePolicy {
 	return EnginePolicy{
-		Full: 0.6, Spare: 0.15, Reread: 3, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
+		Full: 0.35, Spare: 0.02, SpareSlots: 0.2, Reread: 8, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
 		GapLimit: 0.9, SlotLimit: 1, MemoryLimit: 0.9,
 	}
 }
@@ -86,7 +95,6 @@
 	order   []*engine
 	prior   float64 // tokens per ms
 	usual   float64 // failure ratio of the service
-	seen    map[uint64]time.Time
 	rng     *rand.Rand
 }
 
@@ -116,7 +124,7 @@
 func NewPool(policy EnginePolicy, home Place, regions map[string]string, seed uint64) *Pool {
 	return &Pool{
 		policy: policy, home: home, regions: regions, engines: map[string]*engine{},
-		seen: map[uint64]time.Time{}, rng: rand.New(rand.NewPCG(seed, 0)),
+		rng: rand.New(rand.NewPCG(seed, 0)),
 	}
 }
 
@@ -177,6 +185,8 @@
 type candidate struct {
 	engine *engine
 	read   int
+	ahead  float64 // ms until the engine begins to read the prompt
+	again  float64 // ms to read shared parts that another engine holds
 	wait   float64 // ms to the first event
 	cost   float64 // ms, what is compared
 	rank   int
@@ -185,8 +195,7 @@
 // Place chooses the engine for a request.
 func (p *Pool) Place(now time.Time, r EngineRequest) Decision {
 	hashes := chain(r.Parts)
-	homes := p.homes(hashes)
-	known := p.known(now, hashes)
+	ranks := p.ranks(hashes)
 	panicking := p.mostFailing(now)
 	limit := p.limit(r)
 	var best, shortest *candidate
@@ -199,11 +208,11 @@
 			continue
 		}
 		usable = true
-		c := p.weigh(now, e, r, hashes, homes, known)
-		if shortest == nil || c.wait < shortest.wait {
+		c := p.weigh(now, e, r, hashes, ranks)
+		if shortest == nil || c.ahead < shortest.ahead {
 			shortest = &c
 		}
-		if c.wait > limit || !p.hasRoom(e, r) {
+		if !p.admits(c, r, limit) {
 			continue
 		}
 		if best == nil || c.cost < best.cost {
@@ -222,6 +231,19 @@
 	}
 }
 
+// admits tells whether the request may go to the candidate. Prompt parts that are
+// read again take the place of other work, so they count like waiting work.
+func (p *Pool) admits(c candidate, r EngineRequest, limit float64) bool {
+	if c.ahead+c.again > limit || !p.hasRoom(c.engine, r) {
+		return false
+	}
+	if r.Usage < 1 {
+		return true
+	}
+	requests := c.engine.own.Requests + c.engine.remote.Requests
+	return c.again == 0 && float64(requests) < p.policy.SpareSlots*float64(p.engine.Slots)
+}
+
 // limit is the longest acceptable wait in ms. It shrinks as the workspace comes
 // to the end of its share, so that those who have received least go first.
 func (p *Pool) limit(r EngineRequest) float64 {
@@ -237,7 +259,7 @@
 	if r.Usage >= 1 {
 		reason = OverShare
 	}
-	over := max(shortest.wait-limit, 0)
+	over := max(shortest.ahead-limit, 0)
 	wait := time.Duration(over*float64(time.Millisecond)) + shortestReturn
 	return Decision{Reason: reason, RetryAfter: spread(p.rng, wait), Wait: time.Duration(shortest.wait * float64(time.Millisecond))}
 }
@@ -252,45 +274,53 @@
 	return d + time.Duration(rng.Float64()*float64(d))
 }
 
-// homes returns for each part of the chain the engine that all routers send it
-// to first.
-func (p *Pool) homes(hashes []uint64) []*engine {
-	homes := make([]*engine, len(hashes))
-	for i, hash := range hashes {
-		var highest uint64
-		for _, e := range p.order {
-			if e.upstream.Leaving {
-				continue
-			}
-			if weight := rendezvous(hash, e.upstream.ID); homes[i] == nil || weight > highest {
-				homes[i], highest = e, weight
-			}
+// ranks returns the engines in the order in which all routers prefer them for a
+// prompt: by the last part that it shares with others, which is the part before
+// its own.
+func (p *Pool) ranks(hashes []uint64) map[*engine]int {
+	if len(hashes) < 2 {
+		return nil
+	}
+	shared := hashes[len(hashes)-2]
+	order := make([]*engine, 0, len(p.order))
+	for _, e := range p.order {
+		if !e.upstream.Leaving {
+			order = append(order, e)
 		}
 	}
-	return homes
+	slices.SortFunc(order, func(a, b *engine) int {
+		return cmp.Compare(rendezvous(shared, b.upstream.ID), rendezvous(shared, a.upstream.ID))
+	})
+	ranks := make(map[*engine]int, len(order))
+	for i, e := range order {
+		ranks[e] = i
+	}
+	return ranks
 }
 
-// known tells for each part whether this router has seen it lately.
-func (p *Pool) known(now time.Time, hashes []uint64) []bool {
-	known := make([]bool, len(hashes))
-	for i, hash := range hashes {
-		at, ok := p.seen[hash]
-		known[i] = ok && now.Sub(at) < partMemory
+// held returns how many of the prompt's parts an engine is taken to have cached.
+// The home of a prompt gets it from all routers, so it is taken to hold all shared
+// parts.
+func (e *engine) held(now time.Time, hashes []uint64, home bool) int {
+	if home {
+		return len(hashes) - 1
+	}
+	for i := len(hashes) - 1; i >= 0; i-- {
+		if at, used := e.parts[hashes[i]]; used && now.Sub(at) < partMemory {
+			return i + 1
+		}
 	}
-	return known
+	return 0
 }
 
 // weigh works out what the request would find at an engine.
-func (p *Pool) weigh(now time.Time, e *engine, r EngineRequest, hashes []uint64, homes []*engine, known []bool) candidate {
-	read, again, held := 0, 0, true
-	for i, part := range r.Parts {
-		at, used := e.parts[hashes[i]]
-		held = held && (used && now.Sub(at) < partMemory || known[i] && homes[i] == e)
-		if held {
-			continue
-		}
+func (p *Pool) weigh(now time.Time, e *engine, r EngineRequest, hashes []uint64, ranks map[*engine]int) candidate {
+	rank := ranks[e]
+	held := e.held(now, hashes, len(hashes) > 1 && rank == 0)
+	read, again := 0, 0
+	for i, part := range r.Parts[held:] {
 		read += part.Tokens
-		if i < len(r.Parts)-1 {
+		if held+i < len(r.Parts)-1 {
 			again += part.Tokens
 		}
 	}
@@ -299,17 +329,18 @@
 	}
 	rate := p.rate(e)
 	load := e.own.plus(e.remote)
-	wait := float64(load.WaitingTokens+read) / rate
+	ahead := float64(load.WaitingTokens) / rate
+	wait := ahead + float64(read)/rate
 	cost := wait + p.policy.Reread*float64(again)/rate + p.distance(e)
 	cost *= 1 + e.health.failures
-	rank := 1
-	if len(homes) > 1 && homes[len(homes)-2] == e {
-		rank = 0
+	if rank == 1 {
+		// Routers that turn away from the home agree on where to go.
+		cost *= secondPreference
 	}
 	if e.others > 0 {
 		cost *= 2
 	}
-	return candidate{engine: e, read: read, wait: wait, cost: cost, rank: rank}
+	return candidate{engine: e, read: read, ahead: ahead, again: float64(again) / rate, wait: wait, cost: cost, rank: rank}
 }
 
 func (p *Pool) distance(e *engine) float64 {
@@ -359,9 +390,6 @@
 // Sent notes that a request goes to the engine of a decision.
 func (p *Pool) Sent(now time.Time, r EngineRequest, d Decision) *Ticket {
 	t := &Ticket{Upstream: d.Upstream, Read: d.Read, memory: r.Prompt + r.Output, sent: now, waiting: true}
-	for _, hash := range chain(r.Parts) {
-		p.seen[hash] = now
-	}
 	e := p.find(t)
 	if e == nil {
 		return t
@@ -377,9 +405,6 @@
 	if len(e.parts) > maxParts {
 		forget(e.parts, now)
 	}
-	if len(p.seen) > maxParts {
-		forget(p.seen, now)
-	}
 	return t
 }
 
