fairshare: share the real capacity, and what is left over, by what was received

Change: capacity left over goes to the lowest usage within 0.6; the demand leaves returns out; the capacity is taken as lower while work within shares is refused; entries are held only if no router had an answer of the store; SIGHUP is caught from start to end.

--- a/belief/roster.go
+++ b/belief/roster.go
@@ -12,6 +12,9 @@
 // The platform restores the entries of live upstreams within about two seconds.
 const LapseGrace = 2200 * time.Millisecond
 
+// shortestWait keeps a watch from becoming a busy loop.
+const shortestWait = 10 * time.Millisecond
+
 // Roster is a set of upstreams at one revision of the store. It is immutable.
 type Roster struct {
 	byID      map[string]catalog.Upstream
@@ -65,9 +68,18 @@
 	return &Registry{entries: map[string]catalog.Upstream{}, missing: map[string]catalog.Upstream{}}
 }
 
-// Lost notes that the store does not answer.
+// Lost notes that the store answers nobody. It is not called while other routers
+// have its answers: entries lapse only when upstreams cannot reach the store.
 func (r *Registry) Lost() { r.away = true }
 
+// Wait returns how long a watch may wait so that Sweep comes in time.
+func (r *Registry) Wait(now time.Time, longest time.Duration) time.Duration {
+	if len(r.missing) == 0 {
+		return longest
+	}
+	return min(max(r.regained.Add(LapseGrace).Sub(now), shortestWait), longest)
+}
+
 // Answered notes an answer of the store.
 func (r *Registry) Answered(now time.Time) {
 	if r.away {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -51,6 +51,10 @@
 func (c *ServeCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	sink := logsink.New(os.Stdout)
 	sinkContext, stopSink := context.WithCancel(context.Background())
+	// SIGHUP ends a process that does not catch it, so it is caught first and until
+	// the process has ended, also while it stops.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
@@ -69,7 +73,7 @@
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
 	}
-	go c.watchReload(ctx, logger)
+	go c.reload(reloads, logger)
 	g, err := gateway.New(s, gateway.Options{MetricsAddress: c.metrics}, logger)
 	if err != nil {
 		logger.Error("router cannot start", "err", err)
@@ -93,19 +97,11 @@
 	})
 }
 
-// watchReload checks the settings file on SIGHUP. Addresses and bounds of a
+// reload checks the settings file on each signal. Addresses and bounds of a
 // running router do not change; a file that cannot be used is reported and
 // changes nothing.
-func (c *ServeCommand) watchReload(ctx context.Context, logger *log.Logger) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
+func (c *ServeCommand) reload(signals <-chan os.Signal, logger *log.Logger) {
+	for range signals {
 		if _, err := platform.LoadSettings(c.file); err != nil {
 			logger.Error("changed settings cannot be used", "file", c.file, "err", err)
 			continue
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -18,11 +19,25 @@
 type Use struct {
 	Asked    float64 `cbor:"1,keyasint,omitempty"`
 	Received float64 `cbor:"2,keyasint,omitempty"`
+	// Turned is what was refused although it was within the share.
+	Turned float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Add returns the sum of u and v.
 func (u Use) Add(v Use) Use {
-	return Use{Asked: u.Asked + v.Asked, Received: u.Received + v.Received}
+	return Use{Asked: u.Asked + v.Asked, Received: u.Received + v.Received, Turned: u.Turned + v.Turned}
+}
+
+// demand estimates what a workspace asked for without the requests that came back
+// after a refusal. Callers come back about once, so of the requests that arrive
+// one part is new and another, as large as the refused part of the new ones,
+// has come back.
+func (u Use) demand() float64 {
+	if u.Asked <= 0 {
+		return 0
+	}
+	refused := max(u.Asked-u.Received, 0) / u.Asked
+	return u.Asked / (1 + refused)
 }
 
 // Meter counts the use of each workspace at one router. It is not safe for
@@ -50,6 +65,11 @@
 	m.bucket(now, workspace).Received += tokens
 }
 
+// Turn counts tokens that were refused although they are within the share.
+func (m *Meter) Turn(now time.Time, workspace string, tokens float64) {
+	m.bucket(now, workspace).Turned += tokens
+}
+
 // Sums returns the use within the window by workspace. Workspaces without any
 // are left out.
 func (m *Meter) Sums(now time.Time) map[string]Use {
@@ -107,3 +127,77 @@
 	}
 	return capacity
 }
+
+const (
+	// turnedShare is the part of the received tokens from which turned ones show
+	// that the real capacity is below the nominal one.
+	turnedShare = 0.03
+	// capacityMargin is how far the estimate of the capacity lies above what was
+	// received, so that it can grow again.
+	capacityMargin = 1.1
+	// leastCapacity is the least part of the nominal capacity that is assumed.
+	leastCapacity = 0.25
+)
+
+// Capacity estimates the tokens that the engines can really take within a window
+// from what all workspaces received and were turned away with. With engines lost
+// or slow it is below nominal, and shares of the nominal capacity would let the
+// first comers take all of it.
+func Capacity(nominal float64, uses map[string]Use) float64 {
+	var sum Use
+	for _, use := range uses {
+		sum = sum.Add(use)
+	}
+	if sum.Turned <= turnedShare*sum.Received {
+		return nominal
+	}
+	return min(nominal, max(capacityMargin*sum.Received, leastCapacity*nominal))
+}
+
+// Shares are the outcome of one computation over the uses of all workspaces.
+type Shares struct {
+	// Level is what one workspace may receive within the window, in tokens; 0 before
+	// the first computation.
+	Level float64
+	// Lowest is the least usage among the workspaces that want more than they have
+	// received.
+	Lowest float64
+}
+
+const (
+	// unmetShare is the part of what a workspace asked for that it must lack to
+	// count as wanting more.
+	unmetShare = 0.1
+	// spareSlack is how far a workspace's usage may be above the lowest one when it
+	// takes capacity beyond its share.
+	spareSlack = 0.6
+)
+
+// Compute returns the shares of a nominal capacity within the window.
+func Compute(nominal float64, uses map[string]Use) Shares {
+	asked := make([]float64, 0, len(uses))
+	for _, use := range uses {
+		asked = append(asked, use.demand())
+	}
+	shares := Shares{Level: Level(asked, Capacity(nominal, uses)), Lowest: math.Inf(1)}
+	for _, use := range uses {
+		if use.Asked-use.Received > unmetShare*use.Asked {
+			shares.Lowest = min(shares.Lowest, shares.Usage(use.Received, 0))
+		}
+	}
+	return shares
+}
+
+// Usage returns what a workspace has received as a part of its share, counting
+// half of a request with the given cost.
+func (s Shares) Usage(received, cost float64) float64 {
+	if s.Level <= 0 {
+		return 0
+	}
+	return (received + cost/2) / s.Level
+}
+
+// MayExceed tells whether a workspace with the given usage may take capacity that
+// is left over. It goes to those who have received least, so that a workspace does
+// not get more of it by asking more often.
+func (s Shares) MayExceed(usage float64) bool { return usage <= s.Lowest+spareSlack }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -48,8 +48,12 @@
 	}
 	a.usage = p.usage(now, workspace, a.cost)
 	request := c.engineRequest(a.usage)
+	request.MayExceed = p.shares.MayExceed(a.usage)
 	a.Decision = a.engine.Place(now, request)
 	if a.Refused() {
+		if a.Reason == placement.Overloaded {
+			p.meter.Turn(now, workspace, a.cost)
+		}
 		return a
 	}
 	p.meter.Receive(now, workspace, a.cost)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -231,8 +231,16 @@
 	}
 }
 
-// watches tells whether this router is to watch the store now.
-func (x *exchange) watches() bool {
+// StoreAway implements platform.Watcher.
+func (x *exchange) StoreAway() bool {
+	now := time.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return min(x.table.ConfirmedAge(now), x.storeAge(now)) > staleAfter
+}
+
+// Watches implements platform.Watcher.
+func (x *exchange) Watches() bool {
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,9 +32,11 @@
 	// that it is given: callers have learnt of other routers after refuseShare of
 	// it, and it exits exitMargin before it would be killed.
 	refuseShare = 0.375
-	exitMargin  = 350 * time.Millisecond
-	quietTime   = 600 * time.Millisecond
-	stopPoll    = 25 * time.Millisecond
+	exitMargin  = 600 * time.Millisecond
+	// closeTimeout bounds the farewell to other routers.
+	closeTimeout = 100 * time.Millisecond
+	quietTime    = 600 * time.Millisecond
+	stopPoll     = 25 * time.Millisecond
 	// unregisterTimeout bounds the removal of this router's record at its end.
 	unregisterTimeout = 200 * time.Millisecond
 
@@ -92,7 +94,7 @@
 	if err := g.buildExchange(now); err != nil {
 		return nil, err
 	}
-	g.feed = platform.NewFeed(g.store, g.config, g.upstreams, g.exchange.watches, logger.WithPrefix("store"))
+	g.feed = platform.NewFeed(g.store, g.config, g.upstreams, g.exchange, logger.WithPrefix("store"))
 	g.exchange.feed = g.feed
 	g.handler = &Handler{
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), metrics: newRequestMetrics(),
@@ -214,20 +216,30 @@
 	g.logger.Info("router started", "host", g.settings.Host, "caller", g.settings.CallerAddress,
 		"peer", g.settings.PeerAddress, "store", g.settings.StoreAddress, "seeds", len(g.settings.SeedAddresses))
 	err := group.Wait()
+	g.logger.Info("router ends", "in_progress", g.handler.inProgress.Load())
 	g.close()
-	g.logger.Info("router ended", "in_progress", g.handler.inProgress.Load())
 	return err
 }
 
+// close ends what is still open. Peers that do not answer must not keep the
+// process past its grace.
 func (g *Gateway) close() {
 	g.caller.Close()
 	for _, listener := range g.listeners {
 		listener.Close()
 	}
-	if err := g.transport.Close(); err != nil {
-		g.logger.Warn("peer transport closed", "err", err)
-	}
 	g.store.Close()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		if err := g.transport.Close(); err != nil {
+			g.logger.Warn("peer transport closed", "err", err)
+		}
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeTimeout):
+	}
 }
 
 func (g *Gateway) register(ctx context.Context) {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -27,7 +27,7 @@
 	remote    map[string]budget.Counts
 	heard     int
 	known     int
-	level     float64
+	shares    fairshare.Shares
 	capacity  float64 // tokens within the window
 	remoteAt  time.Time
 }
@@ -133,29 +133,22 @@
 	for _, pool := range p.plains {
 		pool.SetRemote(loads, failing)
 	}
-	p.computeLevel(now)
+	p.computeShares(now)
 }
 
-// computeLevel works out the share of one workspace from what all have asked for.
-func (p *pools) computeLevel(now time.Time) {
+// computeShares works out the shares from what all workspaces have asked for.
+func (p *pools) computeShares(now time.Time) {
 	uses := p.meter.Sums(now)
 	for workspace, use := range p.remoteUse {
 		uses[workspace] = uses[workspace].Add(use)
 	}
-	asked := make([]float64, 0, len(uses))
-	for _, use := range uses {
-		asked = append(asked, use.Asked)
-	}
-	p.level = fairshare.Level(asked, p.capacity)
+	p.shares = fairshare.Compute(p.capacity, uses)
 }
 
 // usage returns what a workspace has received as a part of its share.
 func (p *pools) usage(now time.Time, workspace string, cost float64) float64 {
-	if p.level <= 0 {
-		return 0
-	}
 	received := p.meter.Sums(now)[workspace].Received + p.remoteUse[workspace].Received
-	return (received + cost/2) / p.level
+	return p.shares.Usage(received, cost)
 }
 
 // repeat asks the fleet's budget for one more send of a request.
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -42,6 +42,9 @@
 	// it, which only use capacity that is left over. The time that the request's own
 	// prompt takes does not count, or the largest prompts would never run.
 	Full, Spare float64
+	// Taper is the last part of a share over which the limit falls from Full to
+	// Spare.
+	Taper float64
 	// SpareSlots is the part of the slots up to which an engine takes requests
 	// beyond their workspace's share.
 	SpareSlots float64
@@ -60,7 +63,7 @@
 // DefaultEnginePolicy returns the policy of the daemon.
 func DefaultEnginePolicy() EnginePolicy {
 	return EnginePolicy{
-		Full: 0.35, Spare: 0.02, SpareSlots: 0.2, Reread: 8, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
+		Full: 0.5, Spare: 0.02, Taper: 0.5, SpareSlots: 0.2, Reread: 8, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
 		GapLimit: 0.9, SlotLimit: 1, MemoryLimit: 0.9,
 	}
 }
@@ -81,6 +84,9 @@
 	// Usage is what the workspace has received as a part of its share; 1 and more
 	// is beyond it.
 	Usage float64
+	// MayExceed allows a request beyond the share to use capacity that is left
+	// over.
+	MayExceed bool
 	// Exclude are upstreams that the request was sent to before.
 	Exclude []string
 }
@@ -240,6 +246,9 @@
 	if r.Usage < 1 {
 		return true
 	}
+	if !r.MayExceed {
+		return false
+	}
 	requests := c.engine.own.Requests + c.engine.remote.Requests
 	return c.again == 0 && float64(requests) < p.policy.SpareSlots*float64(p.engine.Slots)
 }
@@ -248,10 +257,8 @@
 // to the end of its share, so that those who have received least go first.
 func (p *Pool) limit(r EngineRequest) float64 {
 	target := float64(r.Target) / float64(time.Millisecond)
-	if r.Usage >= 1 {
-		return target * p.policy.Spare
-	}
-	return target * p.policy.Full
+	left := min(max(1-r.Usage, 0)/p.policy.Taper, 1)
+	return target * (p.policy.Spare + left*(p.policy.Full-p.policy.Spare))
 }
 
 func (p *Pool) refuse(r EngineRequest, shortest *candidate, limit float64) Decision {
