gateway, fake/site: play the platform in this process, and test the path of a request

Found on the way: an empty POST went to the runner in chunks, so that the runner did not notice when the caller left (TestCallerLeaves failed first). Ruled out: a cause in the watch of the caller's connection; an empty body with a length ends the run at once.

--- /dev/null
+++ b/fake/site/runner.go
@@ -0,0 +1,236 @@
+package site
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Behaviour is how a runner treats requests.
+type Behaviour uint8
+
+// Behaviours of a runner.
+const (
+	Sound       Behaviour = iota
+	Failing               // answers 500
+	Shedding              // answers 503 and did not run
+	Mute                  // takes requests and says nothing
+	CutOff                // breaks every answer off in the middle
+	Unsealed              // answers that nobody signed
+	Misdirected           // says that it is another instance
+	Foreign               // answers with the id of another request
+)
+
+// Runner is a model runner or the runner of a plain service. It is safe for
+// concurrent use.
+type Runner struct {
+	ID      string
+	Service string
+	Zone    string
+	// Events is the length of a stream; 0 makes a plain runner.
+	Events int
+	// Work is the time of a plain answer, or the time to read 1,000 tokens.
+	Work time.Duration
+	// Pause is the time between events.
+	Pause time.Duration
+
+	store     *Store
+	listener  net.Listener
+	server    *http.Server
+	behaviour atomic.Uint32
+	reading   sync.Mutex // prompts are read one after the other
+
+	mu      sync.Mutex
+	runs    map[string]int // by request id
+	headers map[string]http.Header
+	state   string
+	running int
+	busiest int
+}
+
+// StartRunner starts a runner on address and registers it.
+func StartRunner(store *Store, address string, r *Runner) (*Runner, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	r.store, r.listener, r.state = store, listener, "ready"
+	r.runs, r.headers = map[string]int{}, map[string]http.Header{}
+	r.server = &http.Server{Handler: r}
+	go func() { _ = r.server.Serve(listener) }() // ends with Close
+	r.register()
+	return r, nil
+}
+
+func (r *Runner) register() {
+	r.store.Put("servers", r.ID, map[string]any{
+		"service": r.Service, "address": r.Address(), "zone": r.Zone, "slots": 8, "state": r.state,
+		"version": "v1", "cold_left_ms": 0, "seq": 1, "born": 1700000000000,
+	})
+}
+
+// Address is where the runner listens.
+func (r *Runner) Address() string { return r.listener.Addr().String() }
+
+// Behave changes how requests are treated.
+func (r *Runner) Behave(b Behaviour) { r.behaviour.Store(uint32(b)) }
+
+// Drain announces that the runner leaves. It goes on serving.
+func (r *Runner) Drain() {
+	r.state = "draining"
+	r.register()
+}
+
+// Close ends the runner without notice.
+func (r *Runner) Close() { _ = r.server.Close() }
+
+// Runs returns how often each request has run here.
+func (r *Runner) Runs() map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := make(map[string]int, len(r.runs))
+	for id, n := range r.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+// Header returns what the latest run of a request was sent with, nil without one.
+func (r *Runner) Header(id string) http.Header {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.headers[id]
+}
+
+// Running returns the requests that run now.
+func (r *Runner) Running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.running
+}
+
+// ServeHTTP implements http.Handler.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("Request-Id")
+	b := Behaviour(r.behaviour.Load())
+	w.Header().Set("Request-Id", id)
+	if target := request.Header.Get("Target-Instance"); b == Misdirected || target != "" && target != r.ID {
+		w.Header().Set("Instance-Id", r.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if b == Shedding {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body) // net/http notices a leaving caller only then
+	r.begin(id, request.Header)
+	defer r.end()
+	switch b {
+	case Mute:
+		<-request.Context().Done()
+		panic(http.ErrAbortHandler)
+	case Foreign:
+		w.Header().Set("Request-Id", "another")
+	}
+	if b != Unsealed {
+		w.Header().Set("Response-Seal", "seal-"+r.ID)
+	}
+	if b == Failing {
+		r.work(request, r.Work)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if r.Events > 0 {
+		r.stream(w, request, b)
+		return
+	}
+	r.plain(w, request, b)
+}
+
+func (r *Runner) begin(id string, h http.Header) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id]++
+	r.headers[id] = h.Clone()
+	r.running++
+	r.busiest = max(r.busiest, r.running)
+}
+
+func (r *Runner) end() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+}
+
+// work waits, and tells whether the caller is still there.
+func (r *Runner) work(request *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-request.Context().Done():
+		return false
+	}
+}
+
+// plainBody is the answer of a plain runner to a request.
+func plainBody(id string) string { return strings.Repeat("answer to "+id+"\n", 20) }
+
+func (r *Runner) plain(w http.ResponseWriter, request *http.Request, b Behaviour) {
+	if !r.work(request, r.Work) {
+		return
+	}
+	body := plainBody(request.Header.Get("Request-Id"))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if b == CutOff {
+		_, _ = w.Write([]byte(body[:len(body)/2]))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write([]byte(body)) // the caller has left
+}
+
+// streamBody is the whole stream for a request after an event.
+func streamBody(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func (r *Runner) stream(w http.ResponseWriter, request *http.Request, b Behaviour) {
+	prompt, _, _ := strings.Cut(request.Header.Get("Token-Count"), ",")
+	tokens, _ := strconv.Atoi(prompt)
+	r.reading.Lock()
+	present := r.work(request, r.Work*time.Duration(tokens)/1000)
+	r.reading.Unlock()
+	if !present {
+		return
+	}
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	for i := last + 1; i <= r.Events; i++ {
+		event := streamBody(i, i)
+		if b == CutOff && i > r.Events/2 {
+			_, _ = w.Write([]byte(event[:len(event)/2]))
+			_ = flush.Flush()
+			panic(http.ErrAbortHandler)
+		}
+		if _, err := w.Write([]byte(event)); err != nil {
+			return
+		}
+		_ = flush.Flush()
+		if !r.work(request, r.Pause) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/fake/site/store.go
@@ -0,0 +1,378 @@
+// Package site is a stand-in for the users' platform: its metadata store, its
+// operator, model runners, plain runners and callers, with the faults that the
+// tests need.
+package site
+
+import (
+	"encoding/json"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how the store treats a call.
+type Fault uint8
+
+// Faults of the store.
+const (
+	NoFault Fault = iota
+	Busy          // 503
+	Limited       // 429
+	Reset         // the connection is reset
+	Silent        // no answer
+	Lost          // the call takes effect and is not answered
+)
+
+// pageSize is the number of objects in one page of a list.
+const pageSize = 50
+
+// Store is the metadata store. It is safe for concurrent use.
+type Store struct {
+	listener net.Listener
+	server   *http.Server
+
+	mu       sync.Mutex
+	revision int64
+	objects  map[string]map[string]*object // by kind and name
+	history  []change
+	oldest   int64 // watches from before are answered 410
+	changed  chan struct{}
+	fault    Fault
+	refused  map[string]Fault // by the caller's address without port
+	calls    int
+	slow     time.Duration
+}
+
+type metadata struct {
+	Name     string `json:"name"`
+	Revision int64  `json:"revision"`
+	Made     int64  `json:"create_rev"`
+}
+
+type object struct {
+	Metadata metadata        `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+type change struct {
+	kind    string
+	Object  object `json:"object"`
+	Deleted bool   `json:"deleted"`
+}
+
+// NewStore starts a store on address, such as "127.0.0.1:0".
+func NewStore(address string) (*Store, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		listener: listener, revision: 1, objects: map[string]map[string]*object{},
+		changed: make(chan struct{}), refused: map[string]Fault{},
+	}
+	s.server = &http.Server{Handler: s}
+	go func() { _ = s.server.Serve(listener) }() // ends with Close
+	return s, nil
+}
+
+// Address is where the store listens.
+func (s *Store) Address() string { return s.listener.Addr().String() }
+
+// Close ends the store and its connections.
+func (s *Store) Close() { _ = s.server.Close() }
+
+// SetFault makes the store treat all calls so.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+	s.wake()
+}
+
+// Refuse makes the store treat the calls of one machine so.
+func (s *Store) Refuse(address string, f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[address] = f
+	s.wake()
+}
+
+// SetSlow delays every answer.
+func (s *Store) SetSlow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
+// Calls is the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// DropHistory makes every watch from before now start over.
+func (s *Store) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = nil
+	s.oldest = s.revision
+	s.wake()
+}
+
+// Put writes an object as the operator or a runner does. It returns the revision.
+func (s *Store) Put(kind, name string, spec any) int64 {
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // a fault of the test
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.write(kind, name, encoded).Metadata.Revision
+}
+
+// Delete removes an object as the platform does.
+func (s *Store) Delete(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+// Names returns the names of a kind.
+func (s *Store) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.objects[kind]))
+}
+
+// write has to be called with mu held, like remove and wake.
+func (s *Store) write(kind, name string, spec json.RawMessage) object {
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]*object{}
+	}
+	o := s.objects[kind][name]
+	if o != nil && string(o.Spec) == string(spec) {
+		return *o
+	}
+	s.revision++
+	if o == nil {
+		o = &object{Metadata: metadata{Name: name, Made: s.revision}}
+		s.objects[kind][name] = o
+	}
+	o.Metadata.Revision = s.revision
+	o.Spec = spec
+	s.history = append(s.history, change{kind: kind, Object: *o})
+	s.wake()
+	return *o
+}
+
+func (s *Store) remove(kind, name string) bool {
+	o := s.objects[kind][name]
+	if o == nil {
+		return false
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	o.Metadata.Revision = s.revision
+	s.history = append(s.history, change{kind: kind, Object: *o, Deleted: true})
+	s.wake()
+	return true
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	path, ok := strings.CutPrefix(r.URL.Path, "/v1/objects/")
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	kind, name, _ := strings.Cut(path, "/")
+	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	s.mu.Lock()
+	s.calls++
+	slow := s.slow
+	fault := s.faultOf(host)
+	s.mu.Unlock()
+	time.Sleep(slow)
+	if s.failed(w, r, fault) {
+		return
+	}
+	if r.Method == http.MethodGet && r.URL.Query().Get("watch") != "" {
+		s.watch(w, r, kind, host)
+		return
+	}
+	status, body := s.call(r, kind, name)
+	if fault == Lost {
+		panic(http.ErrAbortHandler)
+	}
+	answer(w, status, body)
+}
+
+func (s *Store) faultOf(host string) Fault {
+	if f := s.refused[host]; f != NoFault {
+		return f
+	}
+	return s.fault
+}
+
+func (s *Store) failed(w http.ResponseWriter, r *http.Request, f Fault) bool {
+	switch f {
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case Limited:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case Reset:
+		panic(http.ErrAbortHandler)
+	case Silent:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	default:
+		return false
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if body != nil {
+		_ = json.NewEncoder(w).Encode(body) // the caller has left
+	}
+}
+
+// call carries out a call that does not wait.
+func (s *Store) call(r *http.Request, kind, name string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch r.Method {
+	case http.MethodGet:
+		return s.read(r, kind, name)
+	case http.MethodPost:
+		return s.create(r, kind)
+	case http.MethodPut:
+		return s.replace(r, kind, name)
+	case http.MethodDelete:
+		return s.delete(r, kind, name)
+	}
+	return http.StatusMethodNotAllowed, nil
+}
+
+func (s *Store) read(r *http.Request, kind, name string) (int, any) {
+	if name != "" {
+		if o := s.objects[kind][name]; o != nil {
+			return http.StatusOK, o
+		}
+		return http.StatusNotFound, nil
+	}
+	after := r.URL.Query().Get("after")
+	items := []object{}
+	more := false
+	for _, name := range slices.Sorted(maps.Keys(s.objects[kind])) {
+		if name <= after {
+			continue
+		}
+		if len(items) == pageSize {
+			more = true
+			break
+		}
+		items = append(items, *s.objects[kind][name])
+	}
+	return http.StatusOK, map[string]any{"items": items, "has_more": more, "store_revision": s.revision}
+}
+
+func (s *Store) create(r *http.Request, kind string) (int, any) {
+	var o object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Metadata.Name == "" {
+		return http.StatusBadRequest, nil
+	}
+	if old := s.objects[kind][o.Metadata.Name]; old != nil {
+		return http.StatusConflict, old
+	}
+	return http.StatusCreated, s.write(kind, o.Metadata.Name, o.Spec)
+}
+
+func (s *Store) replace(r *http.Request, kind, name string) (int, any) {
+	var o object
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	old := s.objects[kind][name]
+	if old == nil {
+		return http.StatusNotFound, nil
+	}
+	if o.Metadata.Revision != 0 && o.Metadata.Revision != old.Metadata.Revision {
+		return http.StatusConflict, old
+	}
+	return http.StatusOK, s.write(kind, name, o.Spec)
+}
+
+func (s *Store) delete(r *http.Request, kind, name string) (int, any) {
+	old := s.objects[kind][name]
+	if old == nil {
+		return http.StatusNotFound, nil
+	}
+	if revision := r.URL.Query().Get("revision"); revision != "" && revision != strconv.FormatInt(old.Metadata.Revision, 10) {
+		return http.StatusConflict, old
+	}
+	s.remove(kind, name)
+	return http.StatusOK, nil
+}
+
+// watch answers as soon as there are changes after a revision.
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind, host string) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("watch"), 10, 64)
+	wait, waitErr := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if err != nil || waitErr != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		gone := after < s.oldest
+		events := s.since(kind, after)
+		revision, changed, fault := s.revision, s.changed, s.faultOf(host)
+		s.mu.Unlock()
+		if s.failed(w, r, fault) {
+			return
+		}
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(events) > 0 {
+			answer(w, http.StatusOK, map[string]any{"events": events, "store_revision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			answer(w, http.StatusOK, map[string]any{"events": []change{}, "store_revision": revision})
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(kind string, after int64) []change {
+	var events []change
+	for _, c := range s.history {
+		if c.kind == kind && c.Object.Metadata.Revision > after {
+			events = append(events, c)
+		}
+	}
+	return events
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,276 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingshift/lacewingshift/fake/site"
+)
+
+// A request of each kind gets the runner's own answer, and the runner gets the
+// caller's request with the headers that the system owes it.
+func TestEveryKindIsServed(t *testing.T) {
+	s := newSite(t, 2, 2)
+	r := s.start(true)
+
+	q := stream(site.StreamPath)
+	q.header = map[string]string{"Hold": "h", "Kv-From": "k", "Tenant": "forged"}
+	got := r.ask(q)
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Equal(t, events(6), got.body)
+	assert.NotEmpty(t, got.header.Get("Response-Seal"))
+
+	sent := s.headerOf(q.id)
+	require.NotNil(t, sent)
+	assert.Equal(t, "workspace-1", sent.Get("Tenant"))
+	assert.Empty(t, sent.Get("Authorization"), "the key must not reach the runner")
+	assert.Empty(t, sent.Get("Hold"))
+	assert.Empty(t, sent.Get("Kv-From"))
+	assert.Equal(t, q.tokens, sent.Get("Token-Count"))
+	assert.Equal(t, q.prompt, sent.Get("Prompt-Prefix"))
+	assert.NotEmpty(t, sent.Get("Target-Instance"))
+
+	for _, q := range []request{
+		{path: site.OrderPath + "1", id: newID(), body: "order"},
+		{method: http.MethodGet, path: site.StatusPath + "1?a=b", id: newID()},
+	} {
+		got := r.ask(q)
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusOK, got.status)
+		assert.Contains(t, got.body, "answer to "+q.id)
+		assert.Equal(t, 1, s.runs(q.id))
+	}
+}
+
+func (s *testSite) headerOf(id string) http.Header {
+	for _, r := range append(append([]*site.Runner{}, s.engines...), s.plains...) {
+		if h := r.Header(id); h != nil {
+			return h
+		}
+	}
+	return nil
+}
+
+// Improper requests get an error that names the cause, and reach no runner.
+func TestImproperRequests(t *testing.T) {
+	s := newSite(t, 1, 1)
+	r := s.start(true)
+	cases := map[string]struct {
+		q      request
+		status int
+	}{
+		"no route":       {request{path: "/nowhere/", id: newID()}, http.StatusNotFound},
+		"no key":         {request{path: site.StreamPath, id: newID()}, http.StatusUnauthorized},
+		"unknown key":    {request{path: site.StreamPath, id: newID(), key: "guess"}, http.StatusUnauthorized},
+		"no id":          {request{path: site.OrderPath}, http.StatusBadRequest},
+		"bad deadline":   {request{path: site.OrderPath, id: newID(), header: map[string]string{"Deadline": "soon"}}, http.StatusBadRequest},
+		"body too large": {request{path: site.OrderPath, id: newID(), body: strings.Repeat("x", 65537)}, http.StatusRequestEntityTooLarge},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			got := r.ask(c.q)
+			require.NoError(t, got.err)
+			assert.Equal(t, c.status, got.status)
+			assert.NotEmpty(t, got.body)
+			assert.Zero(t, s.runs(c.q.id))
+		})
+	}
+}
+
+// A request that must not be repeated runs once whatever the runner does, and
+// nobody is told that it has not run when it has.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	for name, b := range map[string]site.Behaviour{
+		"failing": site.Failing, "mute": site.Mute, "cut off": site.CutOff,
+		"unsealed": site.Unsealed, "foreign": site.Foreign,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, 2)
+			r := s.start(true)
+			for _, p := range s.plains {
+				p.Behave(b)
+			}
+			q := request{path: site.OrderPath + "1", id: newID(), deadline: 600}
+			got := r.ask(q)
+			require.NoError(t, got.err)
+			assert.Equal(t, 1, s.runs(q.id))
+			assert.NotContains(t, []int{200, 408, 421, 429, 503}, got.status)
+			if b != site.Failing {
+				assert.Empty(t, got.header.Get("Response-Seal"))
+			}
+		})
+	}
+}
+
+// A runner that did not run the request leaves the request free to be sent to
+// another one, or to be refused with the promise that it has not run.
+func TestNotRunIsTakenElsewhereOrRefused(t *testing.T) {
+	s := newSite(t, 1, 2)
+	r := s.start(true)
+	s.plains[0].Behave(site.Shedding)
+	s.plains[1].Behave(site.Misdirected)
+	q := request{path: site.OrderPath + "1", id: newID()}
+	got := r.ask(q)
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Zero(t, s.runs(q.id))
+
+	s.plains[1].Behave(site.Sound)
+	for range 6 {
+		q := request{method: http.MethodGet, path: site.StatusPath + "1", id: newID()}
+		assert.Equal(t, http.StatusOK, r.ask(q).status)
+	}
+}
+
+// A stream that breaks off continues at another runner within the same answer,
+// without a gap or a repeated event.
+func TestStreamContinuesElsewhere(t *testing.T) {
+	s := newSite(t, 2, 0)
+	r := s.start(true)
+	for _, broken := range s.engines {
+		broken.Behave(site.CutOff)
+		q := stream(site.StreamPath)
+		got := r.ask(q)
+		broken.Behave(site.Sound)
+		require.NoError(t, got.err)
+		assert.Equal(t, events(6), got.body)
+	}
+}
+
+// A stream that must not be resumed and breaks off does not look complete.
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	s := newSite(t, 1, 0)
+	r := s.start(true)
+	s.engines[0].Behave(site.CutOff)
+	got := r.ask(stream(site.OncePath))
+	assert.Error(t, got.err)
+}
+
+// When the caller leaves, the runner stops working.
+func TestCallerLeaves(t *testing.T) {
+	s := newSite(t, 0, 1)
+	r := s.start(true)
+	s.plains[0].Behave(site.Mute)
+	ctx, cancel := context.WithCancel(context.Background())
+	go r.askWith(ctx, request{path: site.OrderPath + "1", id: newID()})
+	require.Eventually(t, func() bool { return s.plains[0].Running() == 1 }, 2*time.Second, 5*time.Millisecond)
+	cancel()
+	require.Eventually(t, func() bool { return s.plains[0].Running() == 0 }, 500*time.Millisecond, 5*time.Millisecond)
+}
+
+// An upstream that leaves gets no new work, whether it says so or its entry is
+// removed.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	s := newSite(t, 0, 3)
+	r := s.start(true)
+	s.plains[0].Drain()
+	s.store.Delete("servers", s.plains[1].ID)
+	time.Sleep(500 * time.Millisecond)
+	for range 10 {
+		q := request{path: site.OrderPath + "1", id: newID()}
+		require.Equal(t, http.StatusOK, r.ask(q).status)
+		assert.Equal(t, 1, s.plains[2].Runs()[q.id])
+	}
+}
+
+// A router that the store turns away learns of configurations and leaving
+// upstreams from the others in time, and never goes back.
+func TestRouterTurnedAwayLearnsFromPeers(t *testing.T) {
+	for name, fault := range map[string]site.Fault{"silent": site.Silent, "busy": site.Busy, "reset": site.Reset} {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 0, 2)
+			first, second := s.start(true), s.start(true)
+			time.Sleep(400 * time.Millisecond) // the routers have met
+			for _, cutOff := range []*testRouter{first, second} {
+				s.store.Refuse(cutOff.ip, fault)
+			}
+			s.store.Refuse(first.ip, site.NoFault)
+			config := site.Config(7)
+			config["routes"] = config["routes"].([]any)[2:3]
+			s.store.Put("config", "main", config)
+			s.plains[0].Drain()
+			gone := func() bool {
+				return second.ask(request{method: http.MethodGet, path: site.StatusPath, id: newID()}).status == http.StatusNotFound
+			}
+			require.Eventually(t, gone, 2500*time.Millisecond, 20*time.Millisecond, "the new version is in force")
+			time.Sleep(300 * time.Millisecond)
+			for range 5 {
+				q := request{path: site.OrderPath + "1", id: newID()}
+				require.Equal(t, http.StatusOK, second.ask(q).status)
+				assert.Zero(t, s.plains[0].Runs()[q.id])
+			}
+		})
+	}
+}
+
+// A dropped history is noticed and the list read again.
+func TestHistoryDropped(t *testing.T) {
+	s := newSite(t, 0, 1)
+	r := s.start(true)
+	s.store.SetFault(site.Busy)
+	config := site.Config(9)
+	config["routes"] = config["routes"].([]any)[:1]
+	s.store.Put("config", "main", config)
+	s.store.DropHistory()
+	s.store.SetFault(site.NoFault)
+	gone := func() bool {
+		return r.ask(request{path: site.OrderPath, id: newID()}).status == http.StatusNotFound
+	}
+	require.Eventually(t, gone, 2500*time.Millisecond, 20*time.Millisecond)
+}
+
+// A router that starts while the store is away refuses requests with the promise
+// that they have not run, and serves soon after the store is back.
+func TestStartWithoutStore(t *testing.T) {
+	s := newSite(t, 0, 1)
+	s.store.SetFault(site.Busy)
+	r := s.start(false)
+	got := r.ask(request{path: site.OrderPath, id: newID()})
+	assert.Equal(t, http.StatusServiceUnavailable, got.status)
+	assert.False(t, r.ready())
+	s.store.SetFault(site.NoFault)
+	require.Eventually(t, r.ready, 3*time.Second, 20*time.Millisecond)
+	assert.Equal(t, http.StatusOK, r.ask(request{path: site.OrderPath, id: newID()}).status)
+}
+
+// A router that stops is no longer ready or named to callers, ends the requests
+// in progress and takes those of callers that have not heard of it yet.
+func TestStopCutsNothingOff(t *testing.T) {
+	s := newSite(t, 1, 1)
+	first, second := s.start(true), s.start(true)
+	require.Eventually(t, func() bool { return strings.Count(lookup(t, second), ":8783") == 2 }, 3*time.Second, 20*time.Millisecond)
+	answers := make(chan answer, 4)
+	for range cap(answers) {
+		go func() { answers <- first.ask(stream(site.StreamPath)) }()
+	}
+	require.Eventually(t, func() bool { return s.engines[0].Running() > 0 }, time.Second, time.Millisecond)
+	first.stop()
+	require.Eventually(t, func() bool { return !first.ready() }, 500*time.Millisecond, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return !strings.Contains(lookup(t, second), first.ip) }, time.Second, 10*time.Millisecond)
+	late := first.ask(request{path: site.OrderPath, id: newID()})
+	require.NoError(t, late.err)
+	assert.Equal(t, http.StatusOK, late.status)
+	for range cap(answers) {
+		got := <-answers
+		require.NoError(t, got.err)
+		assert.Equal(t, events(6), got.body)
+	}
+}
+
+func lookup(t *testing.T, r *testRouter) string {
+	t.Helper()
+	response, err := http.Get("http://" + r.ip + ":8789/v1/lookup?name=" + site.Host + "&region=r&zone=a")
+	require.NoError(t, err)
+	defer response.Body.Close()
+	body := make([]byte, 1024)
+	n, _ := response.Body.Read(body)
+	return string(body[:n])
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -176,8 +176,7 @@
 	}
 }
 
-// outgoing builds the request to the upstream. The body is given without a way
-// to read it again, so that net/http repeats no request by itself.
+// outgoing builds the request to the upstream.
 func (h *Handler) outgoing(ctx context.Context, out *relay, c *call, a *assignment) *http.Request {
 	send := platform.Send{
 		Instance: a.Upstream.ID, Workspace: c.workspaceName(), Left: time.Until(c.deadline), LastEvent: out.lastEvent,
@@ -189,12 +188,21 @@
 		Host:   c.request.Host,
 		Header: platform.UpstreamHeader(c.request.Header, send),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		Body:          io.NopCloser(bytes.NewReader(c.body)),
+		Body:          onceBody(c.request.Method, c.body),
 		ContentLength: int64(len(c.body)),
 	}
 	return request.WithContext(ctx)
 }
 
+// onceBody returns a body that net/http cannot read again, so that it repeats no
+// request by itself. It would repeat a GET without a body, whatever its route.
+func onceBody(method string, body []byte) io.ReadCloser {
+	if len(body) == 0 && (method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch || method == http.MethodDelete) {
+		return http.NoBody
+	}
+	return io.NopCloser(bytes.NewReader(body))
+}
+
 // relayAnswer checks an answer and passes it on.
 func (h *Handler) relayAnswer(ctx context.Context, out *relay, c *call, a *assignment, response *http.Response, pool *connections, watchdog *watchdog) result {
 	facts := platform.ReadUpstreamAnswer(response)
--- /dev/null
+++ b/gateway/site_test.go
@@ -0,0 +1,207 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingshift/lacewingshift/fake/site"
+	"github.com/lacewingshift/lacewingshift/gateway"
+	"github.com/lacewingshift/lacewingshift/platform"
+)
+
+// nextNet gives every test its own loopback addresses.
+var nextNet atomic.Int32
+
+// testSite is a deployment in this process: a store, runners and routers.
+type testSite struct {
+	t       *testing.T
+	net     int32
+	store   *site.Store
+	engines []*site.Runner
+	plains  []*site.Runner
+	routers []*testRouter
+}
+
+type testRouter struct {
+	ip    string
+	stop  context.CancelFunc
+	ended chan error
+}
+
+func newSite(t *testing.T, engines, plains int) *testSite {
+	t.Helper()
+	s := &testSite{t: t, net: nextNet.Add(1)}
+	store, err := site.NewStore(s.ip(250) + ":8781")
+	require.NoError(t, err)
+	s.store = store
+	t.Cleanup(store.Close)
+	store.Put("config", "main", site.Config(1))
+	for i := range engines {
+		s.engines = append(s.engines, s.runner(100+i, &site.Runner{
+			ID: fmt.Sprintf("e-%d", i), Service: site.EngineService, Events: 6, Work: 10 * time.Millisecond, Pause: 10 * time.Millisecond,
+		}))
+	}
+	for i := range plains {
+		s.plains = append(s.plains, s.runner(150+i, &site.Runner{
+			ID: fmt.Sprintf("p-%d", i), Service: site.PlainService, Work: 20 * time.Millisecond,
+		}))
+	}
+	return s
+}
+
+func (s *testSite) ip(host int) string { return fmt.Sprintf("127.20.%d.%d", s.net, host) }
+
+func (s *testSite) runner(host int, r *site.Runner) *site.Runner {
+	r.Zone = "a"
+	started, err := site.StartRunner(s.store, s.ip(host)+":8080", r)
+	require.NoError(s.t, err)
+	s.t.Cleanup(started.Close)
+	return started
+}
+
+// start starts a router and waits until it is ready if wait is set.
+func (s *testSite) start(wait bool) *testRouter {
+	s.t.Helper()
+	r := &testRouter{ip: s.ip(len(s.routers) + 1), ended: make(chan error, 1)}
+	settings, err := platform.ParseSettings([]byte(s.settings(r.ip)))
+	require.NoError(s.t, err)
+	g, err := gateway.New(settings, gateway.Options{}, log.New(io.Discard))
+	require.NoError(s.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	r.stop = cancel
+	go func() { r.ended <- g.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-r.ended:
+			require.NoError(s.t, err)
+		case <-time.After(10 * time.Second):
+			s.t.Error("router did not end within its grace")
+		}
+	})
+	s.routers = append(s.routers, r)
+	if wait {
+		require.Eventually(s.t, r.ready, 5*time.Second, 10*time.Millisecond, "router is ready")
+	}
+	return r
+}
+
+func (s *testSite) settings(ip string) string {
+	return fmt.Sprintf(`
+node: "router-%[1]s"
+ip: "%[1]s"
+zone: a
+region: r
+zones: {a: r}
+listen: {front: "%[1]s:8783", ready: "%[1]s:8780", control: "%[1]s:8785", directory: "%[1]s:8789"}
+port_range: [7400, 7415]
+seeds: ["%[2]s:8785"]
+bounds: {grace_s: 3, ttl_max_s: 5, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58, quota_window_s: 4}
+provider: {address: "%[3]s"}
+`, ip, s.ip(1), s.store.Address())
+}
+
+func (r *testRouter) ready() bool {
+	response, err := http.Get("http://" + r.ip + ":8780/v1/readiness")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// answer is what a caller saw.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error // the answer ended early
+}
+
+var requestCount atomic.Int64
+
+// request describes a caller's request.
+type request struct {
+	method, path, id, key, body string
+	prompt                      string // Prompt-Prefix
+	tokens                      string // Token-Count
+	deadline                    int    // ms
+	header                      map[string]string
+}
+
+func newID() string { return fmt.Sprintf("request-%d", requestCount.Add(1)) }
+
+func (q request) build(ctx context.Context, address string) *http.Request {
+	if q.method == "" {
+		q.method = http.MethodPost
+	}
+	r, err := http.NewRequestWithContext(ctx, q.method, "http://"+address+q.path, strings.NewReader(q.body))
+	if err != nil {
+		panic(err) // a fault of the test
+	}
+	r.Host = site.Host
+	if q.id != "" {
+		r.Header.Set("Request-Id", q.id)
+	}
+	if q.key != "" {
+		r.Header.Set("Authorization", "Bearer "+q.key)
+	}
+	if q.deadline == 0 {
+		q.deadline = 4000
+	}
+	r.Header.Set("Deadline", fmt.Sprint(q.deadline))
+	if q.tokens != "" {
+		r.Header.Set("Token-Count", q.tokens)
+		r.Header.Set("Prompt-Prefix", q.prompt)
+	}
+	for name, value := range q.header {
+		r.Header.Set(name, value)
+	}
+	return r
+}
+
+func stream(path string) request {
+	return request{path: path + "x", id: newID(), key: site.Key, tokens: "300,40", prompt: "aa:100,bb:100,cc:100"}
+}
+
+// ask sends a request on a new connection.
+func (r *testRouter) ask(q request) answer { return r.askWith(context.Background(), q) }
+
+func (r *testRouter) askWith(ctx context.Context, q request) answer {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}
+	response, err := client.Do(q.build(ctx, r.ip+":8783"))
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, body: string(body), header: response.Header, err: err}
+}
+
+// runs adds up how often a request has run on all runners.
+func (s *testSite) runs(id string) int {
+	total := 0
+	for _, r := range append(append([]*site.Runner{}, s.engines...), s.plains...) {
+		total += r.Runs()[id]
+	}
+	return total
+}
+
+// events is the body of a whole stream of the test's engines.
+func events(count int) string {
+	var b strings.Builder
+	for i := range count {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i+1, i+1)
+	}
+	return b.String()
+}
