tests of the platform adapter and the decisions; two faults they found

Change: each router takes an equal part of what the retry budget has left and takes it anew with each set of reports; past failures weigh less with time, and an upstream without a sample counts with the service's mean. Ruled out: a lower safety factor alone, since the excess grows with the routers.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -31,6 +31,8 @@
 	// Heard and Known are how many other routers the counts cover and how many
 	// there are.
 	Heard, Known int
+	// At is when the counts were put together.
+	At time.Time
 }
 
 // Window counts the requests and repeats of one router to one service. It is not
@@ -40,6 +42,8 @@
 	counts [buckets]Counts
 	latest int64 // number of the newest bucket
 	start  time.Time
+	fleet  time.Time // of the counts that quota follows from
+	quota  int       // repeats until the next counts of the fleet
 }
 
 // NewWindow returns an empty window.
@@ -61,20 +65,36 @@
 	return sum
 }
 
+// reportsInFlight is how many reports of this router the others may not have seen
+// when they decide, so that what is left is not spent twice.
+const reportsInFlight = 2
+
 // Repeat counts a repeated send if the bound of the fleet allows it, and tells
-// whether it does. Routers that are not heard keep their part of the slack.
+// whether it does. All routers spend at once, so each takes an equal part of what
+// is left, and takes it anew with each set of reports. Routers that are not heard
+// keep their part of the slack.
 func (w *Window) Repeat(now time.Time, fleet Fleet) bool {
-	own := w.Sum(now)
-	requests := float64(own.Requests + fleet.Requests)
-	slack := w.limits.Slack * float64(1+fleet.Heard) / float64(1+max(fleet.Known, fleet.Heard))
-	allowed := safety * (w.limits.Ratio*requests + slack)
-	if float64(own.Repeats+fleet.Repeats+1) > allowed {
+	left := w.left(now, fleet)
+	if !fleet.At.Equal(w.fleet) {
+		w.fleet = fleet.At
+		w.quota = int(left) / (1 + reportsInFlight*fleet.Heard)
+	}
+	if left < 1 || w.quota < 1 {
 		return false
 	}
+	w.quota--
 	w.bucket(now).Repeats++
 	return true
 }
 
+// left is how many repeats the fleet may still make within the window.
+func (w *Window) left(now time.Time, fleet Fleet) float64 {
+	own := w.Sum(now)
+	requests := float64(own.Requests + fleet.Requests)
+	slack := w.limits.Slack * float64(1+fleet.Heard) / float64(1+max(fleet.Known, fleet.Heard))
+	return safety*(w.limits.Ratio*requests+slack) - float64(own.Repeats+fleet.Repeats)
+}
+
 // bucket returns the bucket of now and clears those that have left the window.
 func (w *Window) bucket(now time.Time) *Counts {
 	number := int64(now.Sub(w.start) / (w.limits.Window / buckets))
--- /dev/null
+++ b/fleet/table_test.go
@@ -0,0 +1,125 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func record(host, region string) Record {
+	return Record{Host: host, Incarnation: 1, State: Ready, Region: region, CallerAddress: host + "-caller"}
+}
+
+func report(r Record, sequence uint64) *Report { return &Report{Record: r, Sequence: sequence} }
+
+func hosts(records []Record) []string {
+	var hosts []string
+	for _, r := range records {
+		hosts = append(hosts, r.Host)
+	}
+	return hosts
+}
+
+// Guards against naming routers that are silent, and against forgetting to try
+// them again.
+func TestSilentRoutersAreNotLive(t *testing.T) {
+	table := NewTable(record("a", "r"), []string{"seed"}, start)
+	require.True(t, table.Receive(start, report(record("b", "r"), 1)))
+	assert.Equal(t, []string{"a", "b"}, hosts(table.Live(start)))
+	assert.Equal(t, []string{"b", "seed"}, table.Targets(start))
+	for ms := 100; ms <= 2000; ms += 100 {
+		table.Step(start.Add(time.Duration(ms) * time.Millisecond))
+	}
+	late := start.Add(2 * time.Second)
+	assert.Equal(t, []string{"a"}, hosts(table.Live(late)))
+	assert.Contains(t, table.Targets(late), "b")
+}
+
+// Guards against old reports that arrive late, and against the state of an earlier
+// life of a router.
+func TestOlderReportsAreNotTaken(t *testing.T) {
+	table := NewTable(record("a", "r"), nil, start)
+	assert.True(t, table.Receive(start, report(record("b", "r"), 5)))
+	assert.False(t, table.Receive(start, report(record("b", "r"), 5)))
+	assert.False(t, table.Receive(start, report(record("b", "r"), 4)))
+	restarted := record("b", "r")
+	restarted.Incarnation = 2
+	assert.True(t, table.Receive(start, report(restarted, 1)))
+	assert.False(t, table.Receive(start, report(record("b", "r"), 6)))
+	assert.False(t, table.Receive(start, report(record("a", "r"), 9)), "its own report")
+}
+
+// After a pause of this process the others are not taken for silent.
+func TestPauseOfThisProcess(t *testing.T) {
+	table := NewTable(record("a", "r"), nil, start)
+	table.Receive(start, report(record("b", "r"), 1))
+	resumed := start.Add(5 * time.Second)
+	table.Step(resumed)
+	assert.Equal(t, []string{"a", "b"}, hosts(table.Live(resumed)))
+}
+
+// A newcomer that reaches one router learns of all.
+func TestNewcomerLearnsOfAll(t *testing.T) {
+	old := NewTable(record("b", "r"), nil, start)
+	old.Receive(start, report(record("c", "r"), 1))
+	var r Report
+	old.Next(&r)
+	encoded, err := r.Encode()
+	require.NoError(t, err)
+	decoded, err := DecodeReport(encoded)
+	require.NoError(t, err)
+	newcomer := NewTable(record("a", "r"), []string{"b"}, start)
+	newcomer.Receive(start, decoded)
+	assert.Equal(t, []string{"b", "c"}, newcomer.Targets(start))
+}
+
+// One router of each region watches the store; when it falls silent another one
+// takes over.
+func TestOneRouterOfARegionWatches(t *testing.T) {
+	a := NewTable(record("a", "r"), nil, start)
+	b := NewTable(record("b", "r"), nil, start)
+	c := NewTable(record("c", "other"), nil, start)
+	for _, table := range []*Table{a, b, c} {
+		for _, host := range []Record{record("a", "r"), record("b", "r"), record("c", "other")} {
+			table.Receive(start, report(host, 1))
+		}
+	}
+	assert.True(t, a.Watches(start))
+	assert.False(t, b.Watches(start))
+	assert.True(t, c.Watches(start))
+	for ms := 100; ms <= 1500; ms += 100 {
+		b.Step(start.Add(time.Duration(ms) * time.Millisecond))
+	}
+	assert.True(t, b.Watches(start.Add(1500*time.Millisecond)))
+}
+
+// The word of another router ages from when it was given.
+func TestConfirmedAge(t *testing.T) {
+	table := NewTable(record("a", "r"), nil, start)
+	assert.Equal(t, ForgetAfter, table.ConfirmedAge(start))
+	r := report(record("b", "r"), 1)
+	r.StoreAgeMs = 300
+	table.Receive(start, r)
+	assert.Equal(t, 500*time.Millisecond, table.ConfirmedAge(start.Add(200*time.Millisecond)))
+}
+
+func FuzzDecodeReport(f *testing.F) {
+	r := report(record("b", "r"), 1)
+	encoded, err := r.Encode()
+	require.NoError(f, err)
+	f.Add(encoded)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := DecodeReport(data)
+		if err != nil {
+			return
+		}
+		table := NewTable(record("a", "r"), nil, start)
+		table.Receive(start, r)
+		table.Live(start)
+		table.Targets(start)
+	})
+}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -339,7 +339,7 @@
 	ahead := float64(load.WaitingTokens) / rate
 	wait := ahead + float64(read)/rate
 	cost := wait + p.policy.Reread*float64(again)/rate + p.distance(e)
-	cost *= 1 + e.health.failures
+	cost *= 1 + e.health.penalty(now)
 	if rank == 1 {
 		// Routers that turn away from the home agree on where to go.
 		cost *= secondPreference
@@ -494,7 +494,7 @@
 	switch outcome {
 	case Succeeded:
 		*usual = ewma(*usual, 0, usualWeight)
-		h.succeeded()
+		h.succeeded(now)
 	case Failed, Rejected:
 		*usual = ewma(*usual, 1, usualWeight)
 		return h.failed(now, *usual)
--- a/placement/health.go
+++ b/placement/health.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// failureWeight makes three failures in a row after successes cross
@@ -15,6 +18,9 @@
 	// before one request tries it; it doubles with each failed try.
 	firstPause   = time.Second
 	longestPause = 4 * time.Second
+	// forgiveness is the time in which the weight of past failures halves, so that
+	// an upstream that nobody chooses any more is tried again.
+	forgiveness = 2 * time.Second
 	// usualWeight is the weight of one outcome in the service's usual ratio.
 	usualWeight = 0.02
 )
@@ -22,6 +28,7 @@
 // health is what one router has seen of the outcomes at one upstream.
 type health struct {
 	failures float64 // moving ratio
+	latest   time.Time
 	pause    time.Duration
 	until    time.Time // no work before
 	trying   bool      // one request is trying the upstream
@@ -35,6 +42,12 @@
 	return !now.Before(h.until) && !h.trying
 }
 
+// penalty is the failure ratio, the less the longer ago it was seen.
+func (h *health) penalty(now time.Time) float64 {
+	halvings := float64(now.Sub(h.latest)) / float64(forgiveness)
+	return h.failures * math.Exp2(-max(halvings, 0))
+}
+
 // sent notes that a request goes to the upstream.
 func (h *health) sent() {
 	if h.pause > 0 {
@@ -43,8 +56,9 @@
 }
 
 // succeeded notes a good outcome.
-func (h *health) succeeded() {
-	h.failures = ewma(h.failures, 0, failureWeight)
+func (h *health) succeeded(now time.Time) {
+	h.failures = ewma(h.penalty(now), 0, failureWeight)
+	h.latest = now
 	h.trying = false
 	if h.pause > 0 {
 		h.pause = 0
@@ -55,7 +69,8 @@
 // failed notes a failure; usual is the failure ratio of the whole service. It
 // tells whether the upstream is now paused and was not before.
 func (h *health) failed(now time.Time, usual float64) bool {
-	h.failures = ewma(h.failures, 1, failureWeight)
+	h.failures = ewma(h.penalty(now), 1, failureWeight)
+	h.latest = now
 	if h.pause > 0 {
 		h.extend(now)
 		return false
@@ -72,6 +87,7 @@
 func (h *health) unreachable(now time.Time) bool {
 	first := h.pause == 0
 	h.failures = 1
+	h.latest = now
 	h.extend(now)
 	return first
 }
--- /dev/null
+++ b/placement/health_test.go
@@ -0,0 +1,126 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingshift/lacewingshift/catalog"
+)
+
+var start = time.Unix(0, 0)
+
+func plainPool(upstreams int) *PlainPool {
+	p := NewPlainPool(DefaultPlainPolicy(), Place{"a", "r"}, map[string]string{"a": "r"}, 1)
+	var list []catalog.Upstream
+	for i := range upstreams {
+		list = append(list, catalog.Upstream{ID: fmt.Sprintf("p%d", i), DataCentre: "a", Slots: 6})
+	}
+	p.SetUpstreams(list)
+	return p
+}
+
+func (p *PlainPool) run(now time.Time, outcome func(id string) Outcome) string {
+	d := p.Place(now, PlainRequest{Left: 5 * time.Second})
+	p.Ended(now.Add(20*time.Millisecond), p.Sent(now, d.Upstream), outcome(d.Upstream.ID))
+	return d.Upstream.ID
+}
+
+// An upstream that fails part of its requests while the others are sound gets next
+// to no work, and gets it back soon after it is sound again.
+func TestFailingUpstreamIsAvoidedAndComesBack(t *testing.T) {
+	p := plainPool(3)
+	count, total := 0, 0
+	now := start
+	for i := range 500 {
+		now = now.Add(20 * time.Millisecond)
+		id := p.run(now, func(id string) Outcome {
+			if id == "p0" && i%2 == 0 {
+				return Failed
+			}
+			return Succeeded
+		})
+		if i > 50 {
+			total++
+			if id == "p0" {
+				count++
+			}
+		}
+	}
+	assert.Less(t, float64(count)/float64(total), 0.1)
+	back := 0
+	for range 500 {
+		now = now.Add(20 * time.Millisecond)
+		if p.run(now, func(string) Outcome { return Succeeded }) == "p0" {
+			back++
+		}
+	}
+	assert.Greater(t, back, 100)
+}
+
+// When all upstreams fail part of their requests, nobody is refused for it.
+func TestAllFailingAreStillUsed(t *testing.T) {
+	p := plainPool(3)
+	now := start
+	for i := range 400 {
+		now = now.Add(20 * time.Millisecond)
+		d := p.Place(now, PlainRequest{Left: 5 * time.Second})
+		if !assert.False(t, d.Refused(), "request %d", i) {
+			return
+		}
+		outcome := Succeeded
+		if i%2 == 0 {
+			outcome = Failed
+		}
+		p.Ended(now, p.Sent(now, d.Upstream), outcome)
+	}
+}
+
+// An upstream that cannot be reached gets no work at once, and one try a pause.
+func TestUnreachableUpstream(t *testing.T) {
+	p := plainPool(2)
+	tries := 0
+	now := start
+	for range 400 {
+		now = now.Add(10 * time.Millisecond)
+		if p.run(now, func(id string) Outcome {
+			if id == "p0" {
+				return Unreachable
+			}
+			return Succeeded
+		}) == "p0" {
+			tries++
+		}
+	}
+	assert.LessOrEqual(t, tries, 4)
+}
+
+// An id that starts again has a new state.
+func TestNewInstanceStartsAfresh(t *testing.T) {
+	p := plainPool(1)
+	ticket := p.Sent(start, catalog.Upstream{ID: "p0", DataCentre: "a", Slots: 6})
+	p.SetUpstreams([]catalog.Upstream{{ID: "p0", DataCentre: "a", Slots: 6, Born: 5}})
+	assert.Empty(t, p.Loads(start))
+	p.Ended(start, ticket, Unreachable)
+	assert.False(t, p.Place(start, PlainRequest{Left: time.Second}).Refused())
+}
+
+// Leaving upstreams and those tried before get nothing.
+func TestExcludedUpstreams(t *testing.T) {
+	p := plainPool(2)
+	p.SetUpstreams([]catalog.Upstream{{ID: "p0", Leaving: true}, {ID: "p1"}})
+	assert.Equal(t, "p1", p.Place(start, PlainRequest{Left: time.Second}).Upstream.ID)
+	assert.Equal(t, NoUpstream, p.Place(start, PlainRequest{Left: time.Second, Exclude: []string{"p1"}}).Reason)
+}
+
+// What cannot be answered in the time left is refused at once with a time to come
+// back.
+func TestPlainOverload(t *testing.T) {
+	p := plainPool(1)
+	p.SetRemote(map[string]Load{"p0": {Requests: 300}}, nil)
+	d := p.Place(start, PlainRequest{Left: time.Second})
+	assert.Equal(t, Overloaded, d.Reason)
+	assert.Positive(t, d.RetryAfter)
+}
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -44,6 +44,7 @@
 	plains  map[string]*plain
 	order   []*plain
 	usual   float64
+	time    float64 // moving mean of the answer times of all upstreams in ms
 	rng     *rand.Rand
 }
 
@@ -60,7 +61,8 @@
 func NewPlainPool(policy PlainPolicy, home Place, regions map[string]string, seed uint64) *PlainPool {
 	return &PlainPool{
 		policy: policy, home: home, regions: regions, plains: map[string]*plain{},
-		rng: rand.New(rand.NewPCG(seed, 1)),
+		time: float64(priorTime) / float64(time.Millisecond),
+		rng:  rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
@@ -113,8 +115,8 @@
 		if !panicking && (!s.health.usable(now) || s.others >= 2) {
 			continue
 		}
-		predicted := s.predict()
-		cost := (predicted + p.distance(s)) * (1 + s.health.failures + float64(s.others))
+		predicted := s.predict(p.time)
+		cost := (predicted + p.distance(s)) * (1 + s.health.penalty(now) + float64(s.others))
 		// A small random part keeps routers from choosing alike on equal reports.
 		cost *= 1 + 0.1*p.rng.Float64()
 		if best == nil || cost < bestCost {
@@ -132,11 +134,12 @@
 	return Decision{Upstream: best.upstream, Wait: wait}
 }
 
-// predict returns the answer time in ms that one more request would see.
-func (s *plain) predict() float64 {
+// predict returns the answer time in ms that one more request would see; usual is
+// that of the service.
+func (s *plain) predict(usual float64) float64 {
 	mean := s.time
 	if mean == 0 {
-		mean = float64(priorTime) / float64(time.Millisecond)
+		mean = usual
 	}
 	slots := max(s.upstream.Slots, 1)
 	requests := s.own + s.remote + 1
@@ -190,6 +193,7 @@
 			s.time = took
 		}
 		s.time = ewma(s.time, took, timeWeight)
+		p.time = ewma(p.time, took, timeWeight)
 	}
 	return settle(&s.health, &p.usual, now, outcome)
 }
--- /dev/null
+++ b/placement/sim_test.go
@@ -0,0 +1,288 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/lacewingshift/lacewingshift/catalog"
+)
+
+// A simulation plays a load over several routers and engines in steps of a
+// millisecond. Engines read prompts one after the other and keep shared parts.
+type simulation struct {
+	rng     *rand.Rand
+	routers []*Pool
+	engines map[string]*simEngine
+	now     time.Time
+	result  outcome
+}
+
+type simEngine struct {
+	id      string
+	rate    float64 // tokens per ms
+	queue   []*simRun
+	cached  map[uint64]bool
+	running []*simRun
+}
+
+type simRun struct {
+	router  *Pool
+	ticket  *Ticket
+	request EngineRequest
+	sent    time.Time
+	left    float64 // tokens to read
+	until   time.Time
+}
+
+// outcome is what the callers got.
+type outcome struct {
+	asked, onTime, late, refused int
+	reread                       int // shared tokens that were read although they were cached somewhere
+	longAsked, longServed        int
+}
+
+const (
+	simRouters = 4
+	simEngines = 6
+	simRate    = 80.0
+)
+
+type chooser func(s *simulation, router *Pool, r EngineRequest) Decision
+
+func place(s *simulation, router *Pool, r EngineRequest) Decision { return router.Place(s.now, r) }
+
+// leastOfTwo is the baseline that knows neither prefixes nor other routers.
+func leastOfTwo(s *simulation, router *Pool, r EngineRequest) Decision {
+	a, b := router.order[s.rng.IntN(len(router.order))], router.order[s.rng.IntN(len(router.order))]
+	if b.own.Requests < a.own.Requests {
+		a = b
+	}
+	return Decision{Upstream: a.upstream, Read: r.Prompt}
+}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), engines: map[string]*simEngine{}, now: time.Unix(0, 0)}
+	var upstreams []catalog.Upstream
+	for i := range simEngines {
+		id := fmt.Sprintf("e%d", i)
+		upstreams = append(upstreams, catalog.Upstream{ID: id, DataCentre: "a"})
+		s.engines[id] = &simEngine{id: id, rate: simRate, cached: map[uint64]bool{}}
+	}
+	for i := range simRouters {
+		pool := NewPool(DefaultEnginePolicy(), Place{"a", "r"}, map[string]string{"a": "r"}, uint64(i))
+		pool.SetUpstreams(upstreams, catalog.Engine{Slots: 64, MemoryTokens: 600_000, EventTokens: 7}, simEngines*simRate*1000/priorShare)
+		s.routers = append(s.routers, pool)
+	}
+	return s
+}
+
+// arrival draws a request: short ones with little and long ones with much shared.
+func (s *simulation) arrival() (EngineRequest, bool) {
+	long := s.rng.Float64() < 0.25
+	shared, own, topics := 300, 500+s.rng.IntN(800), 60
+	if long {
+		shared, own, topics = 4000, 3000+s.rng.IntN(6000), 30
+	}
+	topic := s.rng.IntN(topics)
+	return EngineRequest{
+		Parts: []Part{
+			{ID: fmt.Sprint("root", long), Tokens: 200}, {ID: fmt.Sprint("topic", long, topic), Tokens: shared},
+			{ID: fmt.Sprint("own", s.rng.Uint64()), Tokens: own},
+		},
+		Prompt: 200 + shared + own, Output: 200, Target: 800 * time.Millisecond, GapTarget: 300 * time.Millisecond, MayExceed: true,
+	}, long
+}
+
+// play runs the load for a time; perSecond requests arrive on average.
+func (s *simulation) play(choose chooser, length time.Duration, perSecond func(ms int) float64) outcome {
+	for ms := range int(length / time.Millisecond) {
+		s.now = s.now.Add(time.Millisecond)
+		if ms%150 == 0 {
+			s.exchange()
+		}
+		if s.rng.Float64() < perSecond(ms)/1000 {
+			s.arrive(choose)
+		}
+		for _, router := range s.routers[0].order {
+			s.work(s.engines[router.upstream.ID])
+		}
+	}
+	return s.result
+}
+
+func (s *simulation) exchange() {
+	loads := make([][]Load, len(s.routers))
+	for i, router := range s.routers {
+		loads[i] = router.Loads(s.now)
+	}
+	for i, router := range s.routers {
+		remote := map[string]Load{}
+		for j, list := range loads {
+			if i == j {
+				continue
+			}
+			for _, l := range list {
+				remote[l.Upstream] = remote[l.Upstream].plus(l)
+			}
+		}
+		router.SetRemote(remote, nil)
+	}
+}
+
+func (s *simulation) arrive(choose chooser) {
+	router := s.routers[s.rng.IntN(len(s.routers))]
+	r, long := s.arrival()
+	s.result.asked++
+	if long {
+		s.result.longAsked++
+	}
+	d := choose(s, router, r)
+	if d.Refused() {
+		s.result.refused++
+		return
+	}
+	if long {
+		s.result.longServed++
+	}
+	run := &simRun{router: router, ticket: router.Sent(s.now, r, d), request: r, sent: s.now}
+	e := s.engines[d.Upstream.ID]
+	for i, hash := range chain(r.Parts) {
+		if e.cached[hash] {
+			continue
+		}
+		run.left += float64(r.Parts[i].Tokens)
+		if i < len(r.Parts)-1 && s.isCachedElsewhere(e, hash) {
+			s.result.reread += r.Parts[i].Tokens
+		}
+		e.cached[hash] = true
+	}
+	e.queue = append(e.queue, run)
+}
+
+func (s *simulation) isCachedElsewhere(e *simEngine, hash uint64) bool {
+	for _, other := range s.engines {
+		if other != e && other.cached[hash] {
+			return true
+		}
+	}
+	return false
+}
+
+// work lets an engine read for a millisecond.
+func (s *simulation) work(e *simEngine) {
+	budget := e.rate
+	for budget > 0 && len(e.queue) > 0 {
+		run := e.queue[0]
+		part := min(budget, run.left)
+		run.left -= part
+		budget -= part
+		if run.left > 0 {
+			break
+		}
+		e.queue = e.queue[1:]
+		run.router.FirstEvent(s.now, run.ticket)
+		run.until = s.now.Add(time.Second)
+		e.running = append(e.running, run)
+		if s.now.Sub(run.sent) <= run.request.Target {
+			s.result.onTime++
+		} else {
+			s.result.late++
+		}
+	}
+	for len(e.running) > 0 && !s.now.Before(e.running[0].until) {
+		e.running[0].router.Ended(s.now, e.running[0].ticket, Succeeded)
+		e.running = e.running[1:]
+	}
+}
+
+func (o outcome) share(n int) float64 { return float64(n) / float64(max(o.asked, 1)) }
+
+func steady(perSecond float64) func(int) float64 { return func(int) float64 { return perSecond } }
+
+// The load of an ordinary day: callers get their answers in time and few shared
+// parts are read twice, against a baseline that knows no prefixes.
+func TestOrdinaryLoad(t *testing.T) {
+	for seed := range uint64(5) {
+		got := newSimulation(seed).play(place, 20*time.Second, steady(90))
+		baseline := newSimulation(seed).play(leastOfTwo, 20*time.Second, steady(90))
+		t.Logf("seed %d: %+v, baseline %+v", seed, got, baseline)
+		assert.GreaterOrEqual(t, got.share(got.onTime), 0.97, "seed %d", seed)
+		assert.Less(t, 2*got.reread, baseline.reread, "seed %d", seed)
+	}
+}
+
+// A crest of about three times what the engines can read: those that are admitted
+// are on time, the others hear so at once, and long requests are not shut out.
+func TestCrest(t *testing.T) {
+	for seed := range uint64(5) {
+		crest := func(ms int) float64 {
+			if ms > 5000 && ms < 10000 {
+				return 450
+			}
+			return 60
+		}
+		got := newSimulation(seed).play(place, 15*time.Second, crest)
+		baseline := newSimulation(seed).play(leastOfTwo, 15*time.Second, crest)
+		t.Logf("seed %d: %+v, baseline %+v", seed, got, baseline)
+		assert.Greater(t, got.onTime, 2*baseline.onTime, "seed %d", seed)
+		assert.Less(t, float64(got.late), 0.1*float64(got.onTime), "seed %d", seed)
+		served := got.asked - got.refused
+		assert.Greater(t, float64(got.longServed)/float64(got.longAsked), 0.5*float64(served)/float64(got.asked), "seed %d", seed)
+	}
+}
+
+// With a third of the engines reading five times slower most requests go to the
+// others.
+func TestSlowEngines(t *testing.T) {
+	for seed := range uint64(5) {
+		s := newSimulation(seed)
+		s.engines["e0"].rate = simRate / 5
+		s.engines["e1"].rate = simRate / 5
+		got := s.play(place, 20*time.Second, steady(50))
+		t.Logf("seed %d: %+v", seed, got)
+		assert.GreaterOrEqual(t, got.share(got.onTime), 0.9, "seed %d", seed)
+	}
+}
+
+// Work beyond a workspace's share runs on idle engines and is refused on busy ones.
+func TestBeyondShareOnlyOnIdleEngines(t *testing.T) {
+	s := newSimulation(1)
+	r, _ := s.arrival()
+	r.Usage = 1.5
+	assert.False(t, s.routers[0].Place(s.now, r).Refused(), "idle engines")
+	r.MayExceed = false
+	assert.Equal(t, OverShare, s.routers[0].Place(s.now, r).Reason, "others come first")
+	r.MayExceed = true
+	busy := map[string]Load{}
+	for id := range s.engines {
+		busy[id] = Load{Requests: 20, WaitingTokens: 3000}
+	}
+	s.routers[0].SetRemote(busy, nil)
+	d := s.routers[0].Place(s.now, r)
+	assert.Equal(t, OverShare, d.Reason)
+	assert.Positive(t, d.RetryAfter)
+	r.Usage = 0.3
+	assert.False(t, s.routers[0].Place(s.now, r).Refused(), "within the share")
+}
+
+// All routers send a prompt to the same engine first, and agree on the next one
+// when that one is gone.
+func TestRoutersAgreeOnTheHome(t *testing.T) {
+	s := newSimulation(3)
+	for range 50 {
+		r, _ := s.arrival()
+		first := s.routers[0].Place(s.now, r).Upstream.ID
+		r.Exclude = []string{first}
+		second := s.routers[0].Place(s.now, r).Upstream.ID
+		for _, router := range s.routers[1:] {
+			r.Exclude = nil
+			assert.Equal(t, first, router.Place(s.now, r).Upstream.ID)
+			r.Exclude = []string{first}
+			assert.Equal(t, second, router.Place(s.now, r).Upstream.ID)
+		}
+	}
+}
