gateway: do not send on what a caller has left; cheaper refusals

A workspace asked for 5 million tokens a second; the routers of its data centre were short of processor time and read requests up to 3 s after they were sent. The log has took=1ms for requests whose callers had left half a second before: net/http notices only some time after the body was read. Ruled out: a longer search at the upstream side; the upstream cancels at once. Change: look at the caller's connection before the first send; refuse what is over its share before placement; sums of uses are kept; the log admits a line before it is formatted.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -74,7 +74,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
 	}
 	go c.reload(reloads, logger)
-	g, err := gateway.New(s, gateway.Options{MetricsAddress: c.metrics}, logger)
+	g, err := gateway.New(s, gateway.Options{MetricsAddress: c.metrics, AdmitLine: sink.Admit}, logger)
 	if err != nil {
 		logger.Error("router cannot start", "err", err)
 		return subcommands.ExitFailure
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -45,29 +45,44 @@
 type Meter struct {
 	window time.Duration
 	start  time.Time
-	latest int64
-	uses   map[string]*[buckets]Use
+	latest int64 // number of the newest bucket
+	uses   map[string]*ring
+}
+
+// ring is the use of one workspace by bucket, and its sum.
+type ring struct {
+	buckets [buckets]Use
+	sum     Use
 }
 
 // NewMeter returns an empty meter over a sliding window.
 func NewMeter(window time.Duration, now time.Time) *Meter {
-	return &Meter{window: window, start: now, uses: map[string]*[buckets]Use{}}
+	return &Meter{window: window, start: now, uses: map[string]*ring{}}
 }
 
 // Ask counts tokens that a workspace has asked for.
 func (m *Meter) Ask(now time.Time, workspace string, tokens float64) {
-	m.bucket(now, workspace).Asked += tokens
+	m.add(now, workspace, Use{Asked: tokens})
 }
 
 // Receive counts tokens that a workspace is given. A negative number takes back
 // what was counted for a request that did not run.
 func (m *Meter) Receive(now time.Time, workspace string, tokens float64) {
-	m.bucket(now, workspace).Received += tokens
+	m.add(now, workspace, Use{Received: tokens})
 }
 
 // Turn counts tokens that were refused although they are within the share.
 func (m *Meter) Turn(now time.Time, workspace string, tokens float64) {
-	m.bucket(now, workspace).Turned += tokens
+	m.add(now, workspace, Use{Turned: tokens})
+}
+
+// Sum returns the use of one workspace within the window.
+func (m *Meter) Sum(now time.Time, workspace string) Use {
+	m.advance(now)
+	if r := m.uses[workspace]; r != nil {
+		return r.sum
+	}
+	return Use{}
 }
 
 // Sums returns the use within the window by workspace. Workspaces without any
@@ -75,41 +90,45 @@
 func (m *Meter) Sums(now time.Time) map[string]Use {
 	m.advance(now)
 	sums := make(map[string]Use, len(m.uses))
-	for workspace, ring := range m.uses {
-		var sum Use
-		for _, use := range ring {
-			sum = sum.Add(use)
-		}
-		if sum == (Use{}) {
+	for workspace, r := range m.uses {
+		if r.buckets == ([buckets]Use{}) {
 			delete(m.uses, workspace)
 			continue
 		}
-		sums[workspace] = sum
+		sums[workspace] = r.sum
 	}
 	return sums
 }
 
-func (m *Meter) bucket(now time.Time, workspace string) *Use {
+func (m *Meter) add(now time.Time, workspace string, use Use) {
 	m.advance(now)
-	ring := m.uses[workspace]
-	if ring == nil {
-		ring = &[buckets]Use{}
-		m.uses[workspace] = ring
+	r := m.uses[workspace]
+	if r == nil {
+		r = &ring{}
+		m.uses[workspace] = r
 	}
-	return &ring[m.latest%buckets]
+	index := m.latest % buckets
+	r.buckets[index] = r.buckets[index].Add(use)
+	r.sum = r.sum.Add(use)
 }
 
-// advance clears the buckets that have left the window.
+// advance clears the buckets that have left the window. Sums are added up anew, so
+// that no rounding errors gather.
 func (m *Meter) advance(now time.Time) {
 	number := int64(now.Sub(m.start) / (m.window / buckets))
-	steps := min(number-m.latest, buckets)
-	for step := range max(steps, 0) {
-		index := (number - step) % buckets
-		for _, ring := range m.uses {
-			ring[index] = Use{}
+	if number <= m.latest {
+		return
+	}
+	for _, r := range m.uses {
+		for step := range min(number-m.latest, buckets) {
+			r.buckets[(number-step)%buckets] = Use{}
+		}
+		r.sum = Use{}
+		for _, use := range r.buckets {
+			r.sum = r.sum.Add(use)
 		}
 	}
-	m.latest = max(m.latest, number)
+	m.latest = number
 }
 
 // Level returns the most that one workspace may have of capacity: workspaces that
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,6 +49,9 @@
 type Options struct {
 	// MetricsAddress serves /metrics; empty serves none.
 	MetricsAddress string
+	// AdmitLine tells whether one more log line about a request may be written; nil
+	// admits all.
+	AdmitLine func() bool
 }
 
 // Gateway is one router on the platform.
@@ -88,6 +91,9 @@
 			Quiet:       quietTime,
 		}),
 	}
+	if options.AdmitLine == nil {
+		options.AdmitLine = func() bool { return true }
+	}
 	home := placement.Place{DataCentre: s.DataCentre, Region: s.Region}
 	limits := budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 	g.pools = newPools(home, s.Regions, limits, s.Bounds.ShareWindow, now)
@@ -97,7 +103,7 @@
 	g.feed = platform.NewFeed(g.store, g.config, g.upstreams, g.exchange, logger.WithPrefix("store"))
 	g.exchange.feed = g.feed
 	g.handler = &Handler{
-		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), metrics: newRequestMetrics(),
+		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admit: options.AdmitLine, metrics: newRequestMetrics(),
 		stopState: g.state, arrived: g.arrived, services: map[string]*connections{},
 	}
 	g.addGauges()
@@ -173,6 +179,7 @@
 	if g.caller == nil {
 		g.caller = server
 		server.ConnState = g.countConnection
+		server.ConnContext = withConnection
 	}
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -29,9 +29,11 @@
 
 // Handler serves the callers.
 type Handler struct {
-	config  *belief.Versioned[platform.Config]
-	pools   *pools
-	logger  *log.Logger
+	config *belief.Versioned[platform.Config]
+	pools  *pools
+	logger *log.Logger
+	// admit tells whether a line about a request may be written.
+	admit   func() bool
 	metrics *requestMetrics
 	// stopState tells what the router does with new requests.
 	stopState func() stopping.State
@@ -62,6 +64,10 @@
 	if !h.readBody(w, c) {
 		return
 	}
+	if hasLeft(r) {
+		h.log(c, "caller left", "reason", "before the request was sent on")
+		panic(http.ErrAbortHandler)
+	}
 	h.dispatch(w, c)
 }
 
@@ -157,6 +163,9 @@
 
 // log writes one line about a request with the inputs that all decisions share.
 func (h *Handler) log(c *call, message string, details ...any) {
+	if !h.admit() {
+		return
+	}
 	fields := []any{
 		"request", c.facts.ID, "status", c.status, "config", c.version,
 		"took", time.Since(c.received).Round(time.Millisecond / 10),
--- /dev/null
+++ b/gateway/left_test.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A router short of processor time reads a request after its caller has left, and
+// must not send it on: GONE on Piedmont scale-2 with seed 781954706660. net/http
+// alone has not noticed at that moment.
+func TestCallerThatLeftBeforeItsRequestWasRead(t *testing.T) {
+	for name, leaves := range map[string]bool{"left": true, "waits": false} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			caller, err := net.Dial("tcp", listener.Addr().String())
+			require.NoError(t, err)
+			_, err = io.WriteString(caller, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+			require.NoError(t, err)
+			if leaves {
+				caller.Close()
+			}
+			defer caller.Close()
+			time.Sleep(20 * time.Millisecond)
+			left := make(chan bool, 1)
+			server := &http.Server{ConnContext: withConnection, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				left <- hasLeft(r)
+			})}
+			go func() { _ = server.Serve(listener) }()
+			defer server.Close()
+			assert.Equal(t, leaves, <-left)
+		})
+	}
+}
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -147,7 +147,7 @@
 
 // usage returns what a workspace has received as a part of its share.
 func (p *pools) usage(now time.Time, workspace string, cost float64) float64 {
-	received := p.meter.Sums(now)[workspace].Received + p.remoteUse[workspace].Received
+	received := p.meter.Sum(now, workspace).Received + p.remoteUse[workspace].Received
 	return p.shares.Usage(received, cost)
 }
 
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -1,5 +1,5 @@
-// Package logsink writes log lines without ever blocking the writer: lines beyond
-// a rate or beyond the buffer are dropped and counted.
+// Package logsink writes log lines without ever blocking the writer: request lines
+// beyond a rate and lines beyond the buffer are dropped and counted.
 package logsink
 
 import (
@@ -36,12 +36,19 @@
 	return &Sink{out: out, queue: make(chan []byte, queueLength), limiter: rate.NewLimiter(linesPerSecond, burst)}
 }
 
+// Admit tells whether one more line about a request may be written, and counts it
+// as dropped otherwise. Asking first saves the work of formatting the line. Lines
+// about the system itself are few and are written without asking.
+func (s *Sink) Admit() bool {
+	if s.limiter.Allow() {
+		return true
+	}
+	s.drop()
+	return false
+}
+
 // Write queues one line. It never blocks and never fails.
 func (s *Sink) Write(line []byte) (int, error) {
-	if !s.limiter.Allow() {
-		s.drop()
-		return len(line), nil
-	}
 	select {
 	case s.queue <- append([]byte(nil), line...):
 	default:
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -200,6 +200,9 @@
 
 // Place chooses the engine for a request.
 func (p *Pool) Place(now time.Time, r EngineRequest) Decision {
+	if r.Usage >= 1 && !r.MayExceed {
+		return Decision{Reason: OverShare, RetryAfter: spread(p.rng, shortestReturn)}
+	}
 	hashes := chain(r.Parts)
 	ranks := p.ranks(hashes)
 	panicking := p.mostFailing(now)
@@ -246,9 +249,6 @@
 	if r.Usage < 1 {
 		return true
 	}
-	if !r.MayExceed {
-		return false
-	}
 	requests := c.engine.own.Requests + c.engine.remote.Requests
 	return c.again == 0 && float64(requests) < p.policy.SpareSlots*float64(p.engine.Slots)
 }
