fleet: relays add up the reports of a data centre in large fleets

Ruled out: reports to a few random routers, which give no exact sums; fewer reports, which make every load older. Change: above 16 live routers each reports to two relays of its data centre. The first live one exchanges sums with the other data centres and sends each member the sums over all others; the second takes over after 0.6 s of silence. What a router receives no longer grows with the fleet beyond a line a router. Conclusion: simulated fleets of 9 to 67 routers agree on the sums, with relays ending and 5% of messages lost.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -25,6 +25,11 @@
 	Repeats  int `cbor:"2,keyasint,omitempty"`
 }
 
+// Plus returns the sum of c and factor times other.
+func (c Counts) Plus(other Counts, factor int) Counts {
+	return Counts{Requests: c.Requests + factor*other.Requests, Repeats: c.Repeats + factor*other.Repeats}
+}
+
 // Fleet is what other routers have reported.
 type Fleet struct {
 	Counts
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -28,6 +28,11 @@
 	return Use{Asked: u.Asked + v.Asked, Received: u.Received + v.Received, Turned: u.Turned + v.Turned}
 }
 
+// Times returns u with each number multiplied by factor.
+func (u Use) Times(factor float64) Use {
+	return Use{Asked: factor * u.Asked, Received: factor * u.Received, Turned: factor * u.Turned}
+}
+
 // demand estimates what a workspace asked for without the requests that came back
 // after a refusal. Callers come back about once, so of the requests that arrive
 // one part is new and another, as large as the refused part of the new ones,
--- /dev/null
+++ b/fleet/relay_test.go
@@ -0,0 +1,173 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingshift/lacewingshift/fairshare"
+	"github.com/lacewingshift/lacewingshift/placement"
+)
+
+// network steps many tables against each other with delays and losses.
+type network struct {
+	rng    *rand.Rand
+	now    time.Time
+	tables map[string]*Table
+	order  []string
+	dead   map[string]bool
+	flight []flying
+	loss   float64
+	sent   map[string]int // messages by sender
+	bytes  int
+}
+
+type flying struct {
+	to   string
+	at   time.Time
+	body []byte
+}
+
+func newNetwork(routers, dataCentres int, loss float64) *network {
+	n := &network{
+		rng: rand.New(rand.NewPCG(1, 2)), now: start, tables: map[string]*Table{}, dead: map[string]bool{}, loss: loss, sent: map[string]int{},
+	}
+	var records []Record
+	for i := range routers {
+		dc := i % dataCentres
+		records = append(records, Record{
+			Host: fmt.Sprintf("h%03d", i), Incarnation: 1, State: Ready, DataCentre: fmt.Sprint("dc", dc), Region: fmt.Sprint("r", dc%3),
+		})
+	}
+	for _, r := range records {
+		table := NewTable(r, nil, start)
+		table.Learn(start, records)
+		n.tables[r.Host] = table
+		n.order = append(n.order, r.Host)
+	}
+	return n
+}
+
+// run lets all routers tick for a time.
+func (n *network) run(t testing.TB, length time.Duration) {
+	const step = 10 * time.Millisecond
+	for end := n.now.Add(length); n.now.Before(end); n.now = n.now.Add(step) {
+		var later []flying
+		for _, f := range n.flight {
+			if f.at.After(n.now) {
+				later = append(later, f)
+				continue
+			}
+			if n.dead[f.to] {
+				continue
+			}
+			e, err := DecodeEnvelope(f.body)
+			require.NoError(t, err)
+			n.tables[f.to].Receive(n.now, e)
+		}
+		n.flight = later
+		for i, host := range n.order {
+			phase := time.Duration(i%15) * step
+			if !n.dead[host] && (n.now.Sub(start)+phase)%ReportInterval == 0 {
+				n.tick(t, host)
+			}
+		}
+	}
+}
+
+func (n *network) tick(t testing.TB, host string) {
+	table := n.tables[host]
+	table.Step(n.now)
+	r := &Report{
+		Loads: []placement.Load{{Upstream: "u", Requests: 1, WaitingTokens: 10, Failing: host == "h005"}},
+		Uses:  map[string]fairshare.Use{"w": {Asked: 2, Received: 1}},
+	}
+	for _, m := range table.Messages(n.now, r) {
+		body, err := m.Envelope.Encode()
+		require.NoError(t, err)
+		for _, to := range m.To {
+			n.sent[host]++
+			n.bytes += len(body)
+			if n.rng.Float64() < n.loss {
+				continue
+			}
+			n.flight = append(n.flight, flying{to: to, at: n.now.Add(time.Duration(1+n.rng.IntN(10)) * time.Millisecond), body: body})
+		}
+	}
+}
+
+func (n *network) check(t *testing.T, live int) {
+	t.Helper()
+	for _, host := range n.order {
+		if n.dead[host] {
+			continue
+		}
+		totals := n.tables[host].Totals(n.now)
+		assert.Equal(t, live-1, totals.Routers, host)
+		assert.Equal(t, live-1, totals.Loads["u"].Requests, host)
+		assert.InDelta(t, 2*(live-1), totals.Uses["w"].Asked, 0.001, host)
+		assert.Len(t, n.tables[host].Live(n.now), live, host)
+	}
+}
+
+// Every router of a large fleet knows the sums over all others, and no router's
+// messages grow with the fleet.
+func TestRelaysSumUp(t *testing.T) {
+	for _, routers := range []int{9, 67} {
+		n := newNetwork(routers, 6, 0)
+		n.run(t, 4*time.Second)
+		n.check(t, routers)
+		n.sent, n.bytes = map[string]int{}, 0
+		n.run(t, 3*time.Second)
+		most := 0
+		for _, count := range n.sent {
+			most = max(most, count)
+		}
+		ticks := int(3 * time.Second / ReportInterval)
+		perTick := float64(most) / float64(ticks)
+		t.Logf("%d routers: at most %.1f messages a report interval, %.0f bytes/s a router", routers, perTick, float64(n.bytes)/3/float64(routers))
+		// Its relays, those of five other data centres, and the members of its own.
+		assert.LessOrEqual(t, perTick, float64(2+10+routers/6+1))
+		assert.Equal(t, 1, n.tables["h007"].Totals(n.now).Failing["u"])
+	}
+}
+
+// When both relays of a data centre end, its members find new ones.
+func TestRelaysEnd(t *testing.T) {
+	n := newNetwork(43, 4, 0)
+	n.run(t, 4*time.Second)
+	n.dead["h000"], n.dead["h004"], n.dead["h001"] = true, true, true
+	n.run(t, 4*time.Second)
+	n.check(t, 40)
+	n.dead["h000"], n.dead["h004"] = false, false
+	n.run(t, 4*time.Second)
+	n.check(t, 42)
+}
+
+// Lost messages change nobody's belief who is live.
+func TestRelaysOnLossyLinks(t *testing.T) {
+	n := newNetwork(43, 4, 0.05)
+	n.run(t, 4*time.Second)
+	for range 20 {
+		n.run(t, 300*time.Millisecond)
+		for _, host := range n.order {
+			assert.Len(t, n.tables[host].Live(n.now), 43, host)
+		}
+	}
+}
+
+// A newcomer to a large fleet that knows one seed, which is no relay, becomes part
+// of it.
+func TestNewcomerToALargeFleet(t *testing.T) {
+	n := newNetwork(40, 4, 0)
+	n.run(t, 5*time.Second)
+	newcomer := Record{Host: "new", Incarnation: 1, State: Ready, DataCentre: "dc1", Region: "r1"}
+	n.tables["new"] = NewTable(newcomer, []string{"h039"}, n.now)
+	n.order = append(n.order, "new")
+	n.run(t, 5*time.Second)
+	n.check(t, 41)
+}
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/lacewingshift/lacewingshift/budget"
@@ -50,7 +49,8 @@
 	Sequence         uint64 `cbor:"7,keyasint"`
 	ConfigVersion    int64  `cbor:"8,keyasint,omitempty"`
 	UpstreamsVersion int64  `cbor:"9,keyasint,omitempty"`
-	// StoreAgeMs is how long ago the store last confirmed both versions.
+	// StoreAgeMs is how long ago the store last confirmed both versions, to this
+	// router or to one that it hears.
 	StoreAgeMs int64 `cbor:"10,keyasint"`
 	// Loads are by upstream over all services.
 	Loads   []placement.Load         `cbor:"11,keyasint,omitempty"`
@@ -63,18 +63,3 @@
 
 // StoreAge returns StoreAgeMs as a duration.
 func (r *Report) StoreAge() time.Duration { return time.Duration(r.StoreAgeMs) * time.Millisecond }
-
-// Encode returns the wire form of a report.
-func (r *Report) Encode() ([]byte, error) { return cbor.Marshal(r) }
-
-// DecodeReport reads a report. Errors: ErrMessage.
-func DecodeReport(data []byte) (*Report, error) {
-	var r Report
-	if err := cbor.Unmarshal(data, &r); err != nil {
-		return nil, eris.Wrap(ErrMessage, err.Error())
-	}
-	if r.Host == "" || r.Sequence == 0 {
-		return nil, eris.Wrap(ErrMessage, "no host or sequence")
-	}
-	return &r, nil
-}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -13,6 +13,9 @@
 	// LiveAfter is the silence after which a router no longer counts: several
 	// reports may be lost or late in a row on a bad link.
 	LiveAfter = 1200 * time.Millisecond
+	// sightedAfter is that silence for routers that are heard of by relays, whose
+	// word passes through two of them.
+	sightedAfter = LiveAfter + 4*ReportInterval
 	// knownEvery is the number of reports between two that carry known routers.
 	knownEvery = 6
 	// probeInterval is the time between reports to silent routers.
@@ -33,12 +36,21 @@
 	last    time.Time
 	started time.Time
 	count   uint64
+	// digestsOf are the latest digests by data centre; the one for this router as a
+	// member is under the empty name.
+	digestsOf   map[string]received
+	digestCount int
+
+	// liveNow is the result of Live at liveAt, nil after a change.
+	liveNow []Record
+	liveAt  time.Time
 }
 
 type member struct {
 	record   Record
 	report   *Report
-	heard    time.Time // latest report, zero before the first
+	reported time.Time // latest report
+	heard    time.Time // latest report here or at a relay, zero before the first
 	firstSaw time.Time
 	probed   time.Time
 }
@@ -51,7 +63,7 @@
 
 // NewTable returns a table of self and seeds to probe.
 func NewTable(self Record, seeds []string, now time.Time) *Table {
-	t := &Table{self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, last: now, started: now}
+	t := &Table{self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, last: now, started: now, digestsOf: map[string]received{}}
 	for _, seed := range seeds {
 		if seed != self.Host {
 			t.seeds[seed] = time.Time{}
@@ -61,7 +73,10 @@
 }
 
 // SetState changes the state of this router.
-func (t *Table) SetState(s State) { t.self.State = s }
+func (t *Table) SetState(s State) {
+	t.self.State = s
+	t.liveNow = nil
+}
 
 // Self returns the record of this router.
 func (t *Table) Self() Record { return t.self }
@@ -69,6 +84,7 @@
 // Learn takes records from the store or from another router's report. They tell
 // whom to report to, not who is live.
 func (t *Table) Learn(now time.Time, records []Record) {
+	t.liveNow = nil
 	for _, r := range records {
 		if r.Host == "" || r.Host == t.self.Host {
 			continue
@@ -80,12 +96,25 @@
 		}
 		if r.Incarnation > m.record.Incarnation {
 			m.record, m.report, m.heard, m.firstSaw = r, nil, time.Time{}, now
+			m.reported = time.Time{}
 		}
 	}
 }
 
-// Receive takes a report and tells whether it is newer than what is known.
-func (t *Table) Receive(now time.Time, r *Report) (newer bool) {
+// Receive takes a message and tells whether its report is newer than what is
+// known.
+func (t *Table) Receive(now time.Time, e *Envelope) (newer bool) {
+	t.liveNow = nil
+	if !t.receiveReport(now, e.Report) {
+		return false
+	}
+	if e.Digest != nil {
+		t.receiveDigest(now, e.Digest)
+	}
+	return true
+}
+
+func (t *Table) receiveReport(now time.Time, r *Report) (newer bool) {
 	if r.Host == t.self.Host {
 		return false
 	}
@@ -98,7 +127,7 @@
 	if old != nil && (r.Incarnation < old.Incarnation || r.Incarnation == old.Incarnation && r.Sequence <= old.Sequence) {
 		return false
 	}
-	m.record, m.report, m.heard = r.Record, r, now
+	m.record, m.report, m.reported, m.heard = r.Record, r, now, now
 	t.Learn(now, r.Known)
 	return true
 }
@@ -106,12 +135,14 @@
 // Step lets time pass. After a pause of this process the silence of the others
 // was its own.
 func (t *Table) Step(now time.Time) {
+	t.liveNow = nil
 	gap := now.Sub(t.last)
 	t.last = now
 	if gap > pauseLimit {
 		for _, m := range t.members {
 			if !m.heard.IsZero() {
 				m.heard = m.heard.Add(gap)
+				m.reported = m.reported.Add(gap)
 			}
 		}
 	}
@@ -130,19 +161,27 @@
 }
 
 func (m *member) live(now time.Time) bool {
-	return !m.heard.IsZero() && now.Sub(m.heard) < LiveAfter
+	return !m.reported.IsZero() && now.Sub(m.reported) < LiveAfter || !m.heard.IsZero() && now.Sub(m.heard) < sightedAfter
 }
 
-// Targets returns the hosts to send the next report to: those that are live, and
-// now and then those that are silent.
-func (t *Table) Targets(now time.Time) []string {
-	var hosts []string
+// targets returns the hosts to send the next report to when each router reports to
+// all: those that are live, and now and then those that are silent.
+func (t *Table) targets(now time.Time) []string {
+	hosts := t.silent(now)
 	for host, m := range t.members {
 		if m.live(now) {
 			hosts = append(hosts, host)
-			continue
 		}
-		if now.Sub(m.probed) >= probeInterval {
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
+// silent returns the silent hosts whose turn it is to be tried again.
+func (t *Table) silent(now time.Time) []string {
+	var hosts []string
+	for host, m := range t.members {
+		if !m.live(now) && now.Sub(m.probed) >= probeInterval {
 			m.probed = now
 			hosts = append(hosts, host)
 		}
@@ -153,7 +192,6 @@
 			hosts = append(hosts, seed)
 		}
 	}
-	slices.Sort(hosts)
 	return hosts
 }
 
@@ -169,21 +207,26 @@
 	return addresses
 }
 
-// Next completes a report of this router with its record and sequence.
-func (t *Table) Next(r *Report) {
+// complete fills in the record and sequence of a report of this router.
+func (t *Table) complete(r *Report) {
 	t.count++
 	r.Record = t.self
 	r.Sequence = t.count
-	if t.count%knownEvery != 1 {
-		return
-	}
+}
+
+// addKnown adds all routers that this one knows of.
+func (t *Table) addKnown(r *Report) {
 	for _, host := range slices.Sorted(maps.Keys(t.members)) {
 		r.Known = append(r.Known, t.members[host].record)
 	}
 }
 
-// Live returns the routers that report, this one included, sorted by host.
+// Live returns the routers that report, this one included, sorted by host. The
+// caller must not change the result.
 func (t *Table) Live(now time.Time) []Record {
+	if t.liveNow != nil && t.liveAt.Equal(now) {
+		return t.liveNow
+	}
 	live := []Record{t.self}
 	for _, m := range t.members {
 		if m.live(now) {
@@ -191,6 +234,7 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b Record) int { return compare(a.Host, b.Host) })
+	t.liveNow, t.liveAt = live, now
 	return live
 }
 
@@ -204,11 +248,11 @@
 	return 0
 }
 
-// Reports returns the latest report of each live router but this one.
+// Reports returns the latest report of each router that has sent one lately.
 func (t *Table) Reports(now time.Time) []*Report {
 	var reports []*Report
 	for _, host := range slices.Sorted(maps.Keys(t.members)) {
-		if m := t.members[host]; m.live(now) {
+		if m := t.members[host]; m.report != nil && now.Sub(m.reported) < LiveAfter {
 			reports = append(reports, m.report)
 		}
 	}
@@ -256,7 +300,7 @@
 func (t *Table) ConfirmedAge(now time.Time) time.Duration {
 	age := ForgetAfter
 	for _, r := range t.Reports(now) {
-		age = min(age, r.StoreAge()+t.Heard(now, r.Host))
+		age = min(age, r.StoreAge()+now.Sub(t.members[r.Host].reported))
 	}
 	return age
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -84,35 +84,41 @@
 
 // tick sends a report and passes on what others have reported.
 func (x *exchange) tick(now time.Time) {
-	report := &fleet.Report{
-		ConfigVersion:    x.config.Get().Version,
-		UpstreamsVersion: x.upstreams.Get().Version,
-		StoreAgeMs:       x.storeAge(now).Milliseconds(),
-	}
+	report := &fleet.Report{ConfigVersion: x.config.Get().Version, UpstreamsVersion: x.upstreams.Get().Version}
 	x.pools.fill(now, report)
 	x.mu.Lock()
 	x.table.Step(now)
-	x.table.Next(report)
-	targets := x.table.Targets(now)
+	report.StoreAgeMs = min(x.storeAge(now), x.table.ConfirmedAge(now), ageLimit).Milliseconds()
+	messages := x.table.Messages(now, report)
 	addresses := x.table.Addresses()
 	reports := x.table.Reports(now)
+	totals := x.table.Totals(now)
 	known := x.table.Known(now)
 	x.noteLive(now)
 	x.mu.Unlock()
 
 	x.transport.SetAddresses(peerAddresses(addresses))
-	encoded, err := report.Encode()
+	for _, m := range messages {
+		x.send(m)
+	}
+	x.pools.setRemote(now, totals, known)
+	for _, r := range reports {
+		x.catchUp(now, r, true)
+	}
+}
+
+func (x *exchange) send(m fleet.Message) {
+	if len(m.To) == 0 {
+		return
+	}
+	encoded, err := m.Envelope.Encode()
 	if err != nil {
 		x.logger.Error("report cannot be encoded", "err", err)
 		return
 	}
-	for _, host := range targets {
+	for _, host := range m.To {
 		x.transport.Send(host, peer.PartFleet, encoded)
 	}
-	x.pools.setRemote(now, reports, known)
-	for _, r := range reports {
-		x.catchUp(now, r, true)
-	}
 }
 
 func peerAddresses(hosts map[string]uint64) map[string]peer.Address {
@@ -148,16 +154,16 @@
 // receive takes a report of another router.
 func (x *exchange) receive(_ string, body []byte) {
 	now := time.Now()
-	r, err := fleet.DecodeReport(body)
+	e, err := fleet.DecodeEnvelope(body)
 	if err != nil {
 		x.logger.Warn("report not taken", "err", err)
 		return
 	}
 	x.mu.Lock()
-	newer := x.table.Receive(now, r)
+	newer := x.table.Receive(now, e)
 	x.mu.Unlock()
 	if newer {
-		x.catchUp(now, r, false)
+		x.catchUp(now, e.Report, false)
 	}
 }
 
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -97,41 +97,17 @@
 	}
 }
 
-// setRemote takes the latest reports of the other routers.
-func (p *pools) setRemote(now time.Time, reports []*fleet.Report, known int) {
-	loads := map[string]placement.Load{}
-	failing := map[string]int{}
+// setRemote takes the sums over the other routers.
+func (p *pools) setRemote(now time.Time, totals *fleet.Totals, known int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.remoteUse = map[string]fairshare.Use{}
-	p.remote = map[string]budget.Counts{}
-	for _, r := range reports {
-		for _, load := range r.Loads {
-			sum := loads[load.Upstream]
-			sum.WaitingTokens += load.WaitingTokens
-			sum.Requests += load.Requests
-			sum.MemoryTokens += load.MemoryTokens
-			loads[load.Upstream] = sum
-			if load.Failing {
-				failing[load.Upstream]++
-			}
-		}
-		for workspace, use := range r.Uses {
-			p.remoteUse[workspace] = p.remoteUse[workspace].Add(use)
-		}
-		for service, counts := range r.Repeats {
-			sum := p.remote[service]
-			sum.Requests += counts.Requests
-			sum.Repeats += counts.Repeats
-			p.remote[service] = sum
-		}
-	}
-	p.heard, p.known, p.remoteAt = len(reports), known, now
+	p.remoteUse, p.remote = totals.Uses, totals.Repeats
+	p.heard, p.known, p.remoteAt = totals.Routers, known, now
 	for _, pool := range p.engines {
-		pool.SetRemote(loads, failing)
+		pool.SetRemote(totals.Loads, totals.Failing)
 	}
 	for _, pool := range p.plains {
-		pool.SetRemote(loads, failing)
+		pool.SetRemote(totals.Loads, totals.Failing)
 	}
 	p.computeShares(now)
 }
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -15,7 +15,7 @@
 // Load is the work that one router has at one upstream. Routers exchange loads,
 // so that each decides on the load of the whole fleet.
 type Load struct {
-	Upstream string `cbor:"1,keyasint"`
+	Upstream string `cbor:"1,keyasint,omitempty"`
 	// WaitingTokens are prompt tokens of requests without a first event.
 	WaitingTokens int `cbor:"2,keyasint,omitempty"`
 	// Requests are those sent and not ended, MemoryTokens what they occupy.
@@ -26,10 +26,13 @@
 	Failing bool `cbor:"5,keyasint,omitempty"`
 }
 
-func (l Load) plus(other Load) Load {
-	l.WaitingTokens += other.WaitingTokens
-	l.Requests += other.Requests
-	l.MemoryTokens += other.MemoryTokens
+func (l Load) plus(other Load) Load { return l.Plus(other, 1) }
+
+// Plus returns the sum of l and factor times other.
+func (l Load) Plus(other Load, factor int) Load {
+	l.WaitingTokens += factor * other.WaitingTokens
+	l.Requests += factor * other.Requests
+	l.MemoryTokens += factor * other.MemoryTokens
 	return l
 }
 
