--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -45,8 +45,9 @@
 	workspace := c.workspaceName()
 	if c.attempts == 0 {
 		p.meter.Ask(now, workspace, a.cost)
+		a.usage = p.usage(now, workspace, a.cost)
 	}
-	a.usage = p.usage(now, workspace, a.cost)
+	// A further attempt has been charged to the share already.
 	request := c.engineRequest(a.usage)
 	request.MayExceed = p.shares.MayExceed(a.usage)
 	a.Decision = a.engine.Place(now, request)
@@ -56,7 +57,9 @@
 		}
 		return a
 	}
-	p.meter.Receive(now, workspace, a.cost)
+	if c.attempts == 0 || !c.mayHaveRun {
+		p.meter.Receive(now, workspace, a.cost)
+	}
 	a.ticket = a.engine.Sent(now, request, a.Decision)
 	return a
 }
