soak: random faults against the real routers as processes

Change: package soak starts lacewingd processes before the stand-ins of fake/site, with a proxy on each path to the store and the runners (slow, silent, deaf one way, resetting), signals (TERM, KILL, STOP, HUP) and faults of store and runners, drawn from a seed and overlapping. It checks whole answers, at most one run, true refusals, leaving runners and recovery from what callers and runners see. Ruled out: a proxy for the QUIC datagrams of routers; pauses and kills cut those.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -39,6 +39,8 @@
 	Work time.Duration
 	// Pause is the time between events.
 	Pause time.Duration
+	// Announced is the address that the runner registers; its own if empty.
+	Announced string
 
 	store     *Store
 	listener  net.Listener
@@ -48,6 +50,7 @@
 
 	mu      sync.Mutex
 	runs    map[string]int // by request id
+	latest  time.Time      // start of the latest run
 	headers map[string]http.Header
 	state   string
 	running int
@@ -69,8 +72,10 @@
 }
 
 func (r *Runner) register() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.store.Put("servers", r.ID, map[string]any{
-		"service": r.Service, "address": r.Address(), "zone": r.Zone, "slots": 8, "state": r.state,
+		"service": r.Service, "address": r.announced(), "zone": r.Zone, "slots": 8, "state": r.state,
 		"version": "v1", "cold_left_ms": 0, "seq": 1, "born": 1700000000000,
 	})
 }
@@ -78,12 +83,26 @@
 // Address is where the runner listens.
 func (r *Runner) Address() string { return r.listener.Addr().String() }
 
+func (r *Runner) announced() string {
+	if r.Announced != "" {
+		return r.Announced
+	}
+	return r.Address()
+}
+
 // Behave changes how requests are treated.
 func (r *Runner) Behave(b Behaviour) { r.behaviour.Store(uint32(b)) }
 
 // Drain announces that the runner leaves. It goes on serving.
-func (r *Runner) Drain() {
-	r.state = "draining"
+func (r *Runner) Drain() { r.setState("draining") }
+
+// Return announces that the runner takes work again.
+func (r *Runner) Return() { r.setState("ready") }
+
+func (r *Runner) setState(state string) {
+	r.mu.Lock()
+	r.state = state
+	r.mu.Unlock()
 	r.register()
 }
 
@@ -101,6 +120,25 @@
 	return runs
 }
 
+// Latest returns when the latest run began.
+func (r *Runner) Latest() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.latest
+}
+
+// PlainBody is the answer of a plain runner to a request.
+func PlainBody(id string) string { return strings.Repeat("answer to "+id+"\n", 20) }
+
+// StreamBody is the events of a stream from one number to another.
+func StreamBody(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
+
 // Header returns what the latest run of a request was sent with, nil without one.
 func (r *Runner) Header(id string) http.Header {
 	r.mu.Lock()
@@ -159,6 +197,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id]++
+	r.latest = time.Now()
 	r.headers[id] = h.Clone()
 	r.running++
 	r.busiest = max(r.busiest, r.running)
@@ -180,14 +219,11 @@
 	}
 }
 
-// plainBody is the answer of a plain runner to a request.
-func plainBody(id string) string { return strings.Repeat("answer to "+id+"\n", 20) }
-
 func (r *Runner) plain(w http.ResponseWriter, request *http.Request, b Behaviour) {
 	if !r.work(request, r.Work) {
 		return
 	}
-	body := plainBody(request.Header.Get("Request-Id"))
+	body := PlainBody(request.Header.Get("Request-Id"))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if b == CutOff {
 		_, _ = w.Write([]byte(body[:len(body)/2]))
@@ -197,15 +233,6 @@
 	_, _ = w.Write([]byte(body)) // the caller has left
 }
 
-// streamBody is the whole stream for a request after an event.
-func streamBody(from, to int) string {
-	var b strings.Builder
-	for i := from; i <= to; i++ {
-		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
-	}
-	return b.String()
-}
-
 func (r *Runner) stream(w http.ResponseWriter, request *http.Request, b Behaviour) {
 	prompt, _, _ := strings.Cut(request.Header.Get("Token-Count"), ",")
 	tokens, _ := strconv.Atoi(prompt)
@@ -219,7 +246,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	flush := http.NewResponseController(w)
 	for i := last + 1; i <= r.Events; i++ {
-		event := streamBody(i, i)
+		event := StreamBody(i, i)
 		if b == CutOff && i > r.Events/2 {
 			_, _ = w.Write([]byte(event[:len(event)/2]))
 			_ = flush.Flush()
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -24,7 +24,7 @@
 	got := r.ask(q)
 	require.NoError(t, got.err)
 	assert.Equal(t, http.StatusOK, got.status)
-	assert.Equal(t, events(6), got.body)
+	assert.Equal(t, site.StreamBody(1, 6), got.body)
 	assert.NotEmpty(t, got.header.Get("Response-Seal"))
 
 	sent := s.headerOf(q.id)
@@ -141,7 +141,7 @@
 		got := r.ask(q)
 		broken.Behave(site.Sound)
 		require.NoError(t, got.err)
-		assert.Equal(t, events(6), got.body)
+		assert.Equal(t, site.StreamBody(1, 6), got.body)
 	}
 }
 
@@ -261,7 +261,7 @@
 	for range cap(answers) {
 		got := <-answers
 		require.NoError(t, got.err)
-		assert.Equal(t, events(6), got.body)
+		assert.Equal(t, site.StreamBody(1, 6), got.body)
 	}
 }
 
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -196,12 +196,3 @@
 	}
 	return total
 }
-
-// events is the body of a whole stream of the test's engines.
-func events(count int) string {
-	var b strings.Builder
-	for i := range count {
-		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i+1, i+1)
-	}
-	return b.String()
-}
--- /dev/null
+++ b/soak/deployment_test.go
@@ -0,0 +1,197 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingshift/lacewingshift/fake/site"
+)
+
+const (
+	routerCount = 4
+	engineCount = 3
+	plainCount  = 3
+	grace       = 4 * time.Second
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "lacewing-soak")
+	if err != nil {
+		panic(err) // there is no test without the program
+	}
+	binary = filepath.Join(folder, "lacewingd")
+	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/lacewingd").CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(folder) // a left folder of a test does no harm
+	os.Exit(code)
+}
+
+// deployment is a store and runners in this process and routers as processes of
+// their own, with a proxy on each path between them.
+type deployment struct {
+	t       *testing.T
+	net     int
+	folder  string
+	store   *site.Store
+	runners []*runner
+	routers []*router
+}
+
+type runner struct {
+	*site.Runner
+	proxy *proxy
+}
+
+// router is one router over the lives of its process.
+type router struct {
+	d     *deployment
+	index int
+	ip    string
+	store *proxy
+	log   *os.File
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	paused  bool
+}
+
+func newDeployment(t *testing.T, network int) *deployment {
+	t.Helper()
+	d := &deployment{t: t, net: network, folder: t.TempDir()}
+	store, err := site.NewStore(d.ip(250) + ":8781")
+	require.NoError(t, err)
+	t.Cleanup(store.Close)
+	d.store = store
+	store.Put("config", "main", site.Config(1))
+	for i := range engineCount + plainCount {
+		r := &site.Runner{ID: fmt.Sprintf("e-%d", i), Service: site.EngineService, Events: 8, Work: 5 * time.Millisecond, Pause: 20 * time.Millisecond}
+		if i >= engineCount {
+			r = &site.Runner{ID: fmt.Sprintf("p-%d", i), Service: site.PlainService, Work: 20 * time.Millisecond}
+		}
+		d.addRunner(100+i, r)
+	}
+	for i := range routerCount {
+		d.addRouter(i)
+	}
+	return d
+}
+
+func (d *deployment) ip(host int) string { return fmt.Sprintf("127.30.%d.%d", d.net, host) }
+
+func (d *deployment) addRunner(host int, r *site.Runner) {
+	p, err := newProxy(d.ip(host)+":8080", d.ip(host)+":9090")
+	require.NoError(d.t, err)
+	r.Zone, r.Announced = "a", p.address()
+	started, err := site.StartRunner(d.store, d.ip(host)+":9090", r)
+	require.NoError(d.t, err)
+	d.t.Cleanup(func() { _ = p.listener.Close(); started.Close() })
+	d.runners = append(d.runners, &runner{started, p})
+}
+
+func (d *deployment) addRouter(index int) {
+	p, err := newProxy(d.ip(200+index)+":8781", d.store.Address())
+	require.NoError(d.t, err)
+	log, err := os.Create(filepath.Join(d.folder, fmt.Sprintf("router-%d.log", index)))
+	require.NoError(d.t, err)
+	r := &router{d: d, index: index, ip: d.ip(index + 1), store: p, log: log}
+	require.NoError(d.t, os.WriteFile(r.settings(), []byte(d.settings(r)), 0o600))
+	r.start()
+	d.t.Cleanup(func() { r.kill(); _ = p.listener.Close(); _ = log.Close() })
+	d.routers = append(d.routers, r)
+}
+
+func (r *router) settings() string {
+	return filepath.Join(r.d.folder, fmt.Sprintf("router-%d.yaml", r.index))
+}
+
+func (d *deployment) settings(r *router) string {
+	return fmt.Sprintf(`
+node: "router-%d"
+ip: "%[2]s"
+zone: a
+region: r
+zones: {a: r}
+listen: {front: "%[2]s:8783", ready: "%[2]s:8780", control: "%[2]s:8785", directory: "%[2]s:8789"}
+port_range: [7400, 7415]
+seeds: ["%[3]s:8785"]
+bounds: {grace_s: %[5]d, ttl_max_s: 5, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58, quota_window_s: 4}
+provider: {address: "%[4]s"}
+`, r.index, r.ip, d.ip(1), r.store.address(), int(grace/time.Second))
+}
+
+// start starts the process.
+func (r *router) start() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	command := exec.Command(binary, "serve")
+	command.Env = []string{"LACEWINGSHIFT_NODE_FILE=" + r.settings()}
+	command.Stdout, command.Stderr = r.log, r.log
+	if err := command.Start(); err != nil {
+		r.d.t.Errorf("router %d does not start: %v", r.index, err)
+		return
+	}
+	ended := make(chan struct{})
+	r.process, r.ended, r.paused = command, ended, false
+	go func() {
+		_ = command.Wait() // how it ended shows in its log
+		close(ended)
+	}()
+}
+
+// signal sends a signal to the current process and returns when it has ended.
+func (r *router) signal(s syscall.Signal) <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.process.Process.Signal(s) // it may have ended
+	r.paused = s == syscall.SIGSTOP
+	return r.ended
+}
+
+func (r *router) kill() { <-r.signal(syscall.SIGKILL) }
+
+// restartAfter ends the process by a signal and starts it again. A process that is
+// still there after its grace is killed, and that is a fault.
+func (r *router) restartAfter(s syscall.Signal, down time.Duration) {
+	ended := r.signal(s)
+	select {
+	case <-ended:
+	case <-time.After(grace):
+		r.d.t.Errorf("router %d is still there after its grace", r.index)
+		r.kill()
+	}
+	time.Sleep(down)
+	r.start()
+}
+
+func (r *router) isReady() bool {
+	client := http.Client{Timeout: 300 * time.Millisecond}
+	response, err := client.Get("http://" + r.ip + ":8780/v1/readiness")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (d *deployment) allReady() bool {
+	for _, r := range d.routers {
+		if !r.isReady() {
+			return false
+		}
+	}
+	return true
+}
