gateway: spread callers that keep their connections; placement: one base for both pools

Ruled out: silent relays (every router saw all 67), too few addresses in lookup. The pools of engines and plain upstreams share their members, health and distance.

--- a/fleet/report.go
+++ b/fleet/report.go
@@ -56,6 +56,10 @@
 	Loads   []placement.Load         `cbor:"11,keyasint,omitempty"`
 	Uses    map[string]fairshare.Use `cbor:"12,keyasint,omitempty"`
 	Repeats map[string]budget.Counts `cbor:"13,keyasint,omitempty"`
+	// Arrivals is the number of requests that callers sent within the latest second,
+	// Cores the processor time that the router has for them.
+	Arrivals float64 `cbor:"15,keyasint,omitempty"`
+	Cores    float64 `cbor:"16,keyasint,omitempty"`
 	// Known are routers that the sender knows of, sent now and then so that
 	// newcomers learn of all.
 	Known []Record `cbor:"14,keyasint,omitempty"`
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -38,6 +38,7 @@
 	// stopState tells what the router does with new requests.
 	stopState func() stopping.State
 	arrived   func()
+	balance   *balance
 
 	inProgress atomic.Int64
 	mu         sync.Mutex
@@ -51,7 +52,7 @@
 	h.arrived()
 	c := &call{request: r, received: time.Now()}
 	state := h.stopState()
-	if state != stopping.Serving {
+	if h.balance.arrived(c.received) || state != stopping.Serving {
 		w.Header().Set("Connection", "close")
 	}
 	if !h.resolve(w, c) {
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -93,27 +93,21 @@
 
 // Pool is the engines of one service as one router sees them.
 type Pool struct {
+	group
 	policy  EnginePolicy
 	engine  catalog.Engine
-	home    Place
-	regions map[string]string // region by data centre
 	engines map[string]*engine
 	order   []*engine
 	prior   float64 // tokens per ms
-	usual   float64 // failure ratio of the service
 	rng     *rand.Rand
 }
 
 // engine is the state of one upstream.
 type engine struct {
-	upstream catalog.Upstream
-	own      Load
-	remote   Load
-	others   int     // routers that find it failing
-	rate     float64 // prompt tokens per ms; 0 before the first sample
-	gap      float64 // moving mean pause between events in ms
-	health   health
-	parts    map[uint64]time.Time // latest use by chain hash
+	member
+	rate  float64              // prompt tokens per ms; 0 before the first sample
+	gap   float64              // moving mean pause between events in ms
+	parts map[uint64]time.Time // latest use by chain hash
 }
 
 // Ticket is the work of one request at one engine until it ends.
@@ -129,7 +123,7 @@
 // NewPool returns a pool without engines.
 func NewPool(policy EnginePolicy, home Place, regions map[string]string, seed uint64) *Pool {
 	return &Pool{
-		policy: policy, home: home, regions: regions, engines: map[string]*engine{},
+		group: group{home: home, regions: regions}, policy: policy, engines: map[string]*engine{},
 		rng: rand.New(rand.NewPCG(seed, 0)),
 	}
 }
@@ -140,6 +134,7 @@
 	p.engine = description
 	p.prior = priorShare * tokensPerSecond / 1000 / float64(max(len(upstreams), 1))
 	current := make(map[string]*engine, len(upstreams))
+	p.members = make(map[string]*member, len(upstreams))
 	p.order = p.order[:0]
 	for _, u := range upstreams {
 		e := p.engines[u.ID]
@@ -148,28 +143,21 @@
 		}
 		e.upstream = u
 		current[u.ID] = e
+		p.members[u.ID] = &e.member
 		p.order = append(p.order, e)
 	}
 	p.engines = current
 }
 
 // SetRemote replaces the loads of the other routers.
-func (p *Pool) SetRemote(loads map[string]Load, failing map[string]int) {
-	for id, e := range p.engines {
-		e.remote = loads[id]
-		e.others = failing[id]
-	}
-}
+func (p *Pool) SetRemote(loads map[string]Load, failing map[string]int) { p.setRemote(loads, failing) }
 
 // Loads returns this router's own loads.
-func (p *Pool) Loads(now time.Time) []Load {
+func (p *Pool) Loads() []Load {
 	var loads []Load
 	for _, e := range p.order {
-		own := e.own
-		own.Failing = e.health.pause > 0
-		if own != (Load{}) {
-			own.Upstream = e.upstream.ID
-			loads = append(loads, own)
+		if load, ok := e.report(); ok {
+			loads = append(loads, load)
 		}
 	}
 	return loads
@@ -210,10 +198,7 @@
 	var best, shortest *candidate
 	usable := false
 	for _, e := range p.order {
-		if e.upstream.Leaving || excluded(r.Exclude, e.upstream.ID) {
-			continue
-		}
-		if !panicking && (!e.health.usable(now) || e.others >= 2) {
+		if e.excluded(r.Exclude) || !panicking && !e.usable(now) {
 			continue
 		}
 		usable = true
@@ -249,14 +234,14 @@
 	if r.Usage < 1 {
 		return true
 	}
-	requests := c.engine.own.Requests + c.engine.remote.Requests
+	requests := c.engine.load().Requests
 	return c.again == 0 && float64(requests) < p.policy.SpareSlots*float64(p.engine.Slots)
 }
 
 // limit is the longest acceptable wait in ms. It shrinks as the workspace comes
 // to the end of its share, so that those who have received least go first.
 func (p *Pool) limit(r EngineRequest) float64 {
-	target := float64(r.Target) / float64(time.Millisecond)
+	target := milliseconds(r.Target)
 	left := min(max(1-r.Usage, 0)/p.policy.Taper, 1)
 	return target * (p.policy.Spare + left*(p.policy.Full-p.policy.Spare))
 }
@@ -335,10 +320,10 @@
 		read = r.Prompt
 	}
 	rate := p.rate(e)
-	load := e.own.plus(e.remote)
+	load := e.load()
 	ahead := float64(load.WaitingTokens) / rate
 	wait := ahead + float64(read)/rate
-	cost := wait + p.policy.Reread*float64(again)/rate + p.distance(e)
+	cost := wait + p.policy.Reread*float64(again)/rate + p.distance(&e.member, p.policy.OtherDataCentre, p.policy.OtherRegion)
 	cost *= 1 + e.health.penalty(now)
 	if rank == 1 {
 		// Routers that turn away from the home agree on where to go.
@@ -350,17 +335,6 @@
 	return candidate{engine: e, read: read, ahead: ahead, again: float64(again) / rate, wait: wait, cost: cost, rank: rank}
 }
 
-func (p *Pool) distance(e *engine) float64 {
-	switch {
-	case e.upstream.DataCentre == p.home.DataCentre:
-		return 0
-	case p.regions[e.upstream.DataCentre] == p.home.Region:
-		return float64(p.policy.OtherDataCentre) / float64(time.Millisecond)
-	default:
-		return float64(p.policy.OtherRegion) / float64(time.Millisecond)
-	}
-}
-
 // rate is the reading rate of an engine in tokens per ms.
 func (p *Pool) rate(e *engine) float64 {
 	if e.rate > 0 {
@@ -372,7 +346,7 @@
 // hasRoom tells whether slots, memory and the pace of running streams allow one
 // more request.
 func (p *Pool) hasRoom(e *engine, r EngineRequest) bool {
-	load := e.own.plus(e.remote)
+	load := e.load()
 	if p.engine.Slots > 0 && float64(load.Requests) >= p.policy.SlotLimit*float64(p.engine.Slots) {
 		return false
 	}
@@ -380,24 +354,14 @@
 	if p.engine.MemoryTokens > 0 && memory > p.policy.MemoryLimit*float64(p.engine.MemoryTokens) {
 		return false
 	}
-	gapLimit := p.policy.GapLimit * float64(r.GapTarget) / float64(time.Millisecond)
+	gapLimit := p.policy.GapLimit * milliseconds(r.GapTarget)
 	return gapLimit == 0 || e.gap < gapLimit || load.WaitingTokens == 0
 }
 
-func (p *Pool) mostFailing(now time.Time) bool {
-	failing := 0
-	for _, e := range p.order {
-		if !e.health.usable(now) || e.others >= 2 {
-			failing++
-		}
-	}
-	return 2*failing > len(p.order)
-}
-
 // Sent notes that a request goes to the engine of a decision.
 func (p *Pool) Sent(now time.Time, r EngineRequest, d Decision) *Ticket {
 	t := &Ticket{Upstream: d.Upstream, Read: d.Read, memory: r.Prompt + r.Output, sent: now, waiting: true}
-	e := p.find(t)
+	e := p.findEngine(t)
 	if e == nil {
 		return t
 	}
@@ -425,24 +389,23 @@
 	}
 }
 
-func (p *Pool) find(t *Ticket) *engine {
-	e := p.engines[t.Upstream.ID]
-	if e == nil || !e.upstream.SameInstance(t.Upstream) {
+func (p *Pool) findEngine(t *Ticket) *engine {
+	if p.find(t) == nil {
 		return nil
 	}
-	return e
+	return p.engines[t.Upstream.ID]
 }
 
 // FirstEvent notes that the engine has read the prompt.
 func (p *Pool) FirstEvent(now time.Time, t *Ticket) {
-	e := p.find(t)
+	e := p.findEngine(t)
 	if e == nil || !t.waiting {
 		return
 	}
 	t.waiting = false
 	e.own.WaitingTokens -= t.Read
 	work := float64(t.ahead + t.Read)
-	took := float64(now.Sub(t.sent)) / float64(time.Millisecond)
+	took := milliseconds(now.Sub(t.sent))
 	if work < rateSampleTokens || took <= 0 {
 		return
 	}
@@ -455,8 +418,8 @@
 
 // Pause notes the time between two events of a stream.
 func (p *Pool) Pause(t *Ticket, pause time.Duration) {
-	if e := p.find(t); e != nil {
-		e.gap = ewma(e.gap, float64(pause)/float64(time.Millisecond), gapWeight)
+	if e := p.findEngine(t); e != nil {
+		e.gap = ewma(e.gap, milliseconds(pause), gapWeight)
 	}
 }
 
@@ -475,7 +438,7 @@
 // Ended removes the request's load and learns from its outcome. It tells whether
 // the engine gets no more work because of it.
 func (p *Pool) Ended(now time.Time, t *Ticket, outcome Outcome) bool {
-	e := p.find(t)
+	e := p.findEngine(t)
 	if e == nil {
 		return false
 	}
@@ -485,23 +448,5 @@
 	}
 	e.own.Requests--
 	e.own.MemoryTokens -= t.memory
-	return settle(&e.health, &p.usual, now, outcome)
-}
-
-// settle updates the health of an upstream and the usual failure ratio of its
-// service.
-func settle(h *health, usual *float64, now time.Time, outcome Outcome) bool {
-	switch outcome {
-	case Succeeded:
-		*usual = ewma(*usual, 0, usualWeight)
-		h.succeeded(now)
-	case Failed, Rejected:
-		*usual = ewma(*usual, 1, usualWeight)
-		return h.failed(now, *usual)
-	case Unreachable:
-		return h.unreachable(now)
-	default:
-		h.abandoned()
-	}
-	return false
+	return p.settle(&e.member, now, outcome)
 }
--- a/placement/health_test.go
+++ b/placement/health_test.go
@@ -102,7 +102,7 @@
 	p := plainPool(1)
 	ticket := p.Sent(start, catalog.Upstream{ID: "p0", DataCentre: "a", Slots: 6})
 	p.SetUpstreams([]catalog.Upstream{{ID: "p0", DataCentre: "a", Slots: 6, Born: 5}})
-	assert.Empty(t, p.Loads(start))
+	assert.Empty(t, p.Loads())
 	p.Ended(start, ticket, Unreachable)
 	assert.False(t, p.Place(start, PlainRequest{Left: time.Second}).Refused())
 }
--- /dev/null
+++ b/placement/member.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/lacewingshift/lacewingshift/catalog"
+)
+
+// member is what engines and plain upstreams have in common.
+type member struct {
+	upstream catalog.Upstream
+	own      Load
+	remote   Load
+	others   int // routers that give it no work
+	health   health
+}
+
+// avoidedBy is how many other routers have to avoid an upstream for this one to do
+// the same. The path from a single router may be at fault.
+const avoidedBy = 2
+
+// usable tells whether the upstream may get work.
+func (m *member) usable(now time.Time) bool { return m.health.usable(now) && m.others < avoidedBy }
+
+// excluded tells whether the upstream is no candidate at all.
+func (m *member) excluded(tried []string) bool {
+	return m.upstream.Leaving || excluded(tried, m.upstream.ID)
+}
+
+// load returns the load of all routers.
+func (m *member) load() Load { return m.own.plus(m.remote) }
+
+// report returns this router's own load for its report, false if there is none.
+func (m *member) report() (Load, bool) {
+	load := m.own
+	load.Failing = m.health.pause > 0
+	if load == (Load{}) {
+		return load, false
+	}
+	load.Upstream = m.upstream.ID
+	return load, true
+}
+
+// group is the upstreams of one service.
+type group struct {
+	home    Place
+	regions map[string]string // region by data centre
+	members map[string]*member
+	usual   float64 // failure ratio of the service
+}
+
+// setRemote replaces the loads of the other routers.
+func (g *group) setRemote(loads map[string]Load, failing map[string]int) {
+	for id, m := range g.members {
+		m.remote = loads[id]
+		m.others = failing[id]
+	}
+}
+
+// find returns the member that runs a ticket, nil if that instance is gone.
+func (g *group) find(t *Ticket) *member {
+	m := g.members[t.Upstream.ID]
+	if m == nil || !m.upstream.SameInstance(t.Upstream) {
+		return nil
+	}
+	return m
+}
+
+// mostFailing tells whether so many upstreams are avoided that all are used again:
+// then the cause is elsewhere, or there is nothing better.
+func (g *group) mostFailing(now time.Time) bool {
+	failing := 0
+	for _, m := range g.members {
+		if !m.usable(now) {
+			failing++
+		}
+	}
+	return 2*failing > len(g.members)
+}
+
+// distance returns the wait in ms that an upstream's place costs.
+func (g *group) distance(m *member, otherDataCentre, otherRegion time.Duration) float64 {
+	switch {
+	case m.upstream.DataCentre == g.home.DataCentre:
+		return 0
+	case g.regions[m.upstream.DataCentre] == g.home.Region:
+		return milliseconds(otherDataCentre)
+	default:
+		return milliseconds(otherRegion)
+	}
+}
+
+// settle learns from an outcome. It tells whether the upstream gets no more work
+// because of it.
+func (g *group) settle(m *member, now time.Time, outcome Outcome) bool {
+	switch outcome {
+	case Succeeded:
+		g.usual = ewma(g.usual, 0, usualWeight)
+		m.health.succeeded(now)
+	case Failed, Rejected:
+		g.usual = ewma(g.usual, 1, usualWeight)
+		return m.health.failed(now, g.usual)
+	case Unreachable:
+		return m.health.unreachable(now)
+	default:
+		m.health.abandoned()
+	}
+	return false
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -38,37 +38,31 @@
 
 // PlainPool is the upstreams of one plain service as one router sees them.
 type PlainPool struct {
-	policy  PlainPolicy
-	home    Place
-	regions map[string]string
-	plains  map[string]*plain
-	order   []*plain
-	usual   float64
-	time    float64 // moving mean of the answer times of all upstreams in ms
-	rng     *rand.Rand
+	group
+	policy PlainPolicy
+	plains map[string]*plain
+	order  []*plain
+	time   float64 // moving mean of the answer times of all upstreams in ms
+	rng    *rand.Rand
 }
 
 type plain struct {
-	upstream catalog.Upstream
-	own      int
-	remote   int
-	others   int
-	time     float64 // moving mean of answer times in ms; 0 before the first
-	health   health
+	member
+	time float64 // moving mean of answer times in ms; 0 before the first
 }
 
 // NewPlainPool returns a pool without upstreams.
 func NewPlainPool(policy PlainPolicy, home Place, regions map[string]string, seed uint64) *PlainPool {
 	return &PlainPool{
-		policy: policy, home: home, regions: regions, plains: map[string]*plain{},
-		time: float64(priorTime) / float64(time.Millisecond),
-		rng:  rand.New(rand.NewPCG(seed, 1)),
+		group: group{home: home, regions: regions}, policy: policy, plains: map[string]*plain{},
+		time: milliseconds(priorTime), rng: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
 
 // SetUpstreams replaces the upstreams. Those that stay keep their state.
 func (p *PlainPool) SetUpstreams(upstreams []catalog.Upstream) {
 	current := make(map[string]*plain, len(upstreams))
+	p.members = make(map[string]*member, len(upstreams))
 	p.order = p.order[:0]
 	for _, u := range upstreams {
 		s := p.plains[u.ID]
@@ -77,6 +71,7 @@
 		}
 		s.upstream = u
 		current[u.ID] = s
+		p.members[u.ID] = &s.member
 		p.order = append(p.order, s)
 	}
 	p.plains = current
@@ -84,19 +79,14 @@
 
 // SetRemote replaces the loads of the other routers.
 func (p *PlainPool) SetRemote(loads map[string]Load, failing map[string]int) {
-	for id, s := range p.plains {
-		s.remote = loads[id].Requests
-		s.others = failing[id]
-	}
+	p.setRemote(loads, failing)
 }
 
 // Loads returns this router's own loads.
-func (p *PlainPool) Loads(now time.Time) []Load {
+func (p *PlainPool) Loads() []Load {
 	var loads []Load
 	for _, s := range p.order {
-		load := Load{Requests: s.own, Failing: s.health.pause > 0}
-		if load != (Load{}) {
-			load.Upstream = s.upstream.ID
+		if load, ok := s.report(); ok {
 			loads = append(loads, load)
 		}
 	}
@@ -109,14 +99,11 @@
 	var best *plain
 	var bestCost, bestTime float64
 	for _, s := range p.order {
-		if s.upstream.Leaving || excluded(r.Exclude, s.upstream.ID) {
-			continue
-		}
-		if !panicking && (!s.health.usable(now) || s.others >= 2) {
+		if s.excluded(r.Exclude) || !panicking && !s.usable(now) {
 			continue
 		}
 		predicted := s.predict(p.time)
-		cost := (predicted + p.distance(s)) * (1 + s.health.penalty(now) + float64(s.others))
+		cost := (predicted + p.distance(&s.member, p.policy.OtherDataCentre, p.policy.OtherRegion)) * (1 + s.health.penalty(now) + float64(s.others))
 		// A small random part keeps routers from choosing alike on equal reports.
 		cost *= 1 + 0.1*p.rng.Float64()
 		if best == nil || cost < bestCost {
@@ -142,39 +129,18 @@
 		mean = usual
 	}
 	slots := max(s.upstream.Slots, 1)
-	requests := s.own + s.remote + 1
+	requests := s.load().Requests + 1
 	// Half of the slots busy already costs some waiting, as work times vary.
 	queue := float64(requests) / float64(slots)
 	return mean * max(1, queue) * (1 + 0.5*min(queue, 1))
 }
 
-func (p *PlainPool) distance(s *plain) float64 {
-	switch {
-	case s.upstream.DataCentre == p.home.DataCentre:
-		return 0
-	case p.regions[s.upstream.DataCentre] == p.home.Region:
-		return float64(p.policy.OtherDataCentre) / float64(time.Millisecond)
-	default:
-		return float64(p.policy.OtherRegion) / float64(time.Millisecond)
-	}
-}
-
-func (p *PlainPool) mostFailing(now time.Time) bool {
-	failing := 0
-	for _, s := range p.order {
-		if !s.health.usable(now) || s.others >= 2 {
-			failing++
-		}
-	}
-	return 2*failing > len(p.order)
-}
-
 // Sent notes that a request goes to an upstream.
 func (p *PlainPool) Sent(now time.Time, upstream catalog.Upstream) *Ticket {
 	t := &Ticket{Upstream: upstream, sent: now}
-	if s := p.find(t); s != nil {
-		s.own++
-		s.health.sent()
+	if m := p.find(t); m != nil {
+		m.own.Requests++
+		m.health.sent()
 	}
 	return t
 }
@@ -182,26 +148,21 @@
 // Ended removes the request's load and learns from its outcome. It tells whether
 // the upstream gets no more work because of it.
 func (p *PlainPool) Ended(now time.Time, t *Ticket, outcome Outcome) bool {
-	s := p.find(t)
-	if s == nil {
+	m := p.find(t)
+	if m == nil {
 		return false
 	}
-	s.own--
+	m.own.Requests--
 	if outcome == Succeeded {
-		took := float64(now.Sub(t.sent)) / float64(time.Millisecond)
-		if s.time == 0 {
-			s.time = took
-		}
-		s.time = ewma(s.time, took, timeWeight)
-		p.time = ewma(p.time, took, timeWeight)
+		p.plains[t.Upstream.ID].answered(milliseconds(now.Sub(t.sent)))
+		p.time = ewma(p.time, milliseconds(now.Sub(t.sent)), timeWeight)
 	}
-	return settle(&s.health, &p.usual, now, outcome)
+	return p.settle(m, now, outcome)
 }
 
-func (p *PlainPool) find(t *Ticket) *plain {
-	s := p.plains[t.Upstream.ID]
-	if s == nil || !s.upstream.SameInstance(t.Upstream) {
-		return nil
+func (s *plain) answered(took float64) {
+	if s.time == 0 {
+		s.time = took
 	}
-	return s
+	s.time = ewma(s.time, took, timeWeight)
 }
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -117,7 +117,7 @@
 func (s *simulation) exchange() {
 	loads := make([][]Load, len(s.routers))
 	for i, router := range s.routers {
-		loads[i] = router.Loads(s.now)
+		loads[i] = router.Loads()
 	}
 	for i, router := range s.routers {
 		remote := map[string]Load{}
