--- a/gateway/balance.go
+++ b/gateway/balance.go
@@ -24,6 +24,7 @@
 // callers choose anew. It is safe for concurrent use.
 type balance struct {
 	cores float64
+	start time.Time // of the seconds that are counted
 
 	mu      sync.Mutex
 	second  int64
@@ -47,12 +48,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
-	part := float64(now.UnixNano()%int64(arrivalWindow)) / float64(arrivalWindow)
+	part := float64(now.Sub(b.start)%arrivalWindow) / float64(arrivalWindow)
 	return float64(b.current) + (1-part)*float64(b.latest)
 }
 
 func (b *balance) advance(now time.Time) {
-	second := now.UnixNano() / int64(arrivalWindow)
+	second := int64(now.Sub(b.start) / arrivalWindow)
 	switch second - b.second {
 	case 0:
 		return
--- a/gateway/balance_test.go
+++ b/gateway/balance_test.go
@@ -19,8 +19,8 @@
 }
 
 func TestArrivalsOfTheLatestSecond(t *testing.T) {
-	b := &balance{cores: 1}
 	start := time.Unix(1000, 0)
+	b := &balance{cores: 1, start: start}
 	for ms := range 1000 {
 		b.arrived(start.Add(time.Duration(ms) * time.Millisecond))
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,7 +136,7 @@
 	g.transport = peer.NewQUIC(s.PeerAddress, identity, event.NewClock(nil), socket)
 	g.exchange = &exchange{
 		transport: g.transport, config: g.config, upstreams: g.upstreams, pools: g.pools,
-		balance: &balance{cores: s.Cores}, logger: g.logger.WithPrefix("fleet"), urgent: make(chan struct{}, 1),
+		balance: &balance{cores: s.Cores, start: now}, logger: g.logger.WithPrefix("fleet"), urgent: make(chan struct{}, 1),
 		table: fleet.NewTable(self, s.SeedAddresses, now), live: map[string]fleet.State{}, fetching: map[string]bool{},
 	}
 	g.transport.Handle(peer.PartFleet, peer.Receiver{Message: g.exchange.receive, Request: g.exchange.answer})
