--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= piedmont
 export DEPLOYMENT
 
-.PHONY: build test check unit target-scale demo up down bench soak fuzz capacity
+.PHONY: build test check unit target-scale demo up down bench soak soak-platform fuzz capacity
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -51,9 +51,15 @@
 	LACEWING_SOAK=$${LACEWING_SOAK:-30} LACEWING_SEED=$${LACEWING_SEED:-1} \
 		$(GO) test -count=1 -v -timeout 60m -run 'TestFaultCombinations|TestOperatorsRace' ./e2e
 
+# Random faults against lacewingd serve processes, from LACEWING_SOAK_SEED on.
+soak-platform:
+	LACEWING_SOAK_RUNS=$${LACEWING_SOAK_RUNS:-50} LACEWING_SOAK_SEED=$${LACEWING_SOAK_SEED:-1} \
+		$(GO) test -count=1 -v -race -parallel 4 -timeout 60m -run TestSoak ./soak
+
 FUZZTIME ?= 10s
 FUZZ := peer:FuzzReadFrame cell:FuzzReceive cell:FuzzReceiveValues reply:FuzzResumeToken \
-	entry:FuzzHandler settings:FuzzParse intent:FuzzHandle config:FuzzParse member:FuzzReceive
+	entry:FuzzHandler settings:FuzzParse intent:FuzzHandle config:FuzzParse member:FuzzReceive \
+	platform:FuzzSettings platform:FuzzConfig fleet:FuzzDecodeEnvelope
 
 fuzz:
 	@for target in $(FUZZ); do \
--- /dev/null
+++ b/gateway/dispatch_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingshift/lacewingshift/budget"
+	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/fairshare"
+	"github.com/lacewingshift/lacewingshift/fleet"
+	"github.com/lacewingshift/lacewingshift/placement"
+	"github.com/lacewingshift/lacewingshift/platform"
+)
+
+// The second attempt of a request has been charged to its workspace's share with
+// the first one, and is not refused for it: eight failed requests of the recorded
+// Piedmont day inc-0aae.
+func TestSecondAttemptIsNotRefusedForTheShare(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPools(placement.Place{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, 4*time.Second, now)
+	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 8, MemoryTokens: 1 << 20}}
+	table := catalog.NewTable(1, nil, []*catalog.Service{service}, nil, catalog.Limits{TokensPerSecond: 1000}, false)
+	upstreams := []catalog.Upstream{{ID: "e-1", DataCentre: "a"}, {ID: "e-2", DataCentre: "a"}}
+	p.setBeliefs(table, func(string) []catalog.Upstream { return upstreams }, now)
+	// The workspace has had three times its share, another one wants more.
+	p.setRemote(now, &fleet.Totals{Uses: map[string]fairshare.Use{
+		"w": {Asked: 9000, Received: 6000}, "other": {Asked: 9000, Received: 500},
+	}}, 1)
+	c := &call{
+		request: &http.Request{}, service: service, workspace: &catalog.Workspace{Name: "w"},
+		route: &catalog.Route{Target: time.Second}, facts: platform.CallerRequest{PromptTokens: 100},
+	}
+	require.Equal(t, placement.OverShare, p.assign(now, c).Reason)
+
+	c.attempts, c.mayHaveRun, c.tried = 1, true, []string{"e-1"}
+	before := p.meter.Sum(now, "w")
+	a := p.assign(now, c)
+	assert.Equal(t, "e-2", a.Upstream.ID)
+	assert.Equal(t, before, p.meter.Sum(now, "w"), "not charged again")
+}
