placement: routers no longer keep each other from trying an upstream again

Each avoided an engine because at least two others reported it as failing, and reported it itself until a request succeeded there, which nobody sent. Change: an upstream is reported as failing only while its pause lasts. Limits of the configuration on headers are enforced, idle connections leave room under the upstream's own limit, settings that nothing used are gone. Conclusion: recovery does not depend on the order in which routers notice.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -83,14 +83,11 @@
 	Slots int
 	// MemoryTokens is shared by running requests and cached prompt parts.
 	MemoryTokens int64
-	// EventTokens is the number of tokens in one event of a stream.
-	EventTokens int
 }
 
 // Service is a group of interchangeable upstreams.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConnections is how many connections an upstream accepts from all routers
 	// together.
 	MaxConnections int
@@ -106,10 +103,8 @@
 
 // Limits bound what callers may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	HeaderBytes int
+	BodyBytes   int64
 	// TokensPerSecond is what all engines produce together, counting a token that
 	// is read once and a token that is generated twice.
 	TokensPerSecond float64
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -21,30 +21,44 @@
 	// freshIdle bounds the idle time of connections for requests that must not be
 	// repeated, since one that the upstream has dropped leaves their outcome open.
 	freshIdle = time.Second
-	// idlePerUpstream bounds the idle connections to one upstream.
-	idlePerUpstream = 64
+	// idleShare is the part of an upstream's connections that all routers together
+	// may keep idle, so that there is room for new ones.
+	idleShare = 0.5
+	// defaultIdle bounds the idle connections to an upstream without a limit.
+	defaultIdle = 32
 )
 
 // connections are the HTTP connections to the upstreams of one service. It is
 // safe for concurrent use.
 type connections struct {
+	perUpstream int // idle connections to one upstream
+
 	mu       sync.Mutex
 	idle     time.Duration
 	reusable *http.Transport
 	fresh    *http.Transport
 }
 
-func newConnections() *connections {
-	return &connections{idle: keepIdle, reusable: newTransport(keepIdle), fresh: newTransport(freshIdle)}
+// newConnections returns the connections to upstreams that accept limit of them
+// from all routers.
+func newConnections(limit, routers int) *connections {
+	perUpstream := defaultIdle
+	if limit > 0 {
+		perUpstream = max(int(idleShare*float64(limit))/max(routers, 1), 1)
+	}
+	return &connections{
+		perUpstream: perUpstream, idle: keepIdle,
+		reusable: newTransport(keepIdle, perUpstream), fresh: newTransport(freshIdle, perUpstream),
+	}
 }
 
-func newTransport(idle time.Duration) *http.Transport {
+func newTransport(idle time.Duration, perUpstream int) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			return dialer.DialContext(ctx, network, address)
 		},
-		MaxIdleConnsPerHost: idlePerUpstream,
+		MaxIdleConnsPerHost: perUpstream,
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
 	}
@@ -72,13 +86,6 @@
 		return
 	}
 	old := c.reusable
-	c.idle, c.reusable = idle, newTransport(idle)
+	c.idle, c.reusable = idle, newTransport(idle, c.perUpstream)
 	old.CloseIdleConnections()
 }
-
-func (c *connections) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reusable.CloseIdleConnections()
-	c.fresh.CloseIdleConnections()
-}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,7 +74,6 @@
 	connections atomic.Int64
 	revision    atomic.Int64 // of this router's record in the store
 	stopOrdered chan struct{}
-	stopOnce    sync.Once
 }
 
 // New opens the listeners and builds the parts. Errors: ErrListen.
@@ -104,7 +103,8 @@
 	g.exchange.feed = g.feed
 	g.handler = &Handler{
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admit: options.AdmitLine, metrics: newRequestMetrics(),
-		stopState: g.state, arrived: g.arrived, services: map[string]*connections{},
+		stopState: g.state, arrived: g.arrived,
+		routers: func() int { return len(g.exchange.ready()) }, services: map[string]*connections{},
 	}
 	g.addGauges()
 	return g, g.listen(options)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -66,12 +66,13 @@
 		q      request
 		status int
 	}{
-		"no route":       {request{path: "/nowhere/", id: newID()}, http.StatusNotFound},
-		"no key":         {request{path: site.StreamPath, id: newID()}, http.StatusUnauthorized},
-		"unknown key":    {request{path: site.StreamPath, id: newID(), key: "guess"}, http.StatusUnauthorized},
-		"no id":          {request{path: site.OrderPath}, http.StatusBadRequest},
-		"bad deadline":   {request{path: site.OrderPath, id: newID(), header: map[string]string{"Deadline": "soon"}}, http.StatusBadRequest},
-		"body too large": {request{path: site.OrderPath, id: newID(), body: strings.Repeat("x", 65537)}, http.StatusRequestEntityTooLarge},
+		"no route":         {request{path: "/nowhere/", id: newID()}, http.StatusNotFound},
+		"no key":           {request{path: site.StreamPath, id: newID()}, http.StatusUnauthorized},
+		"unknown key":      {request{path: site.StreamPath, id: newID(), key: "guess"}, http.StatusUnauthorized},
+		"no id":            {request{path: site.OrderPath}, http.StatusBadRequest},
+		"bad deadline":     {request{path: site.OrderPath, id: newID(), header: map[string]string{"Deadline": "soon"}}, http.StatusBadRequest},
+		"header too large": {request{path: site.OrderPath, id: newID(), header: map[string]string{"X-Big": strings.Repeat("x", 17000)}}, http.StatusRequestHeaderFieldsTooLarge},
+		"body too large":   {request{path: site.OrderPath, id: newID(), body: strings.Repeat("x", 65537)}, http.StatusRequestEntityTooLarge},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/lacewingshift/lacewingshift/belief"
+	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/platform"
 	"github.com/lacewingshift/lacewingshift/stopping"
 )
@@ -39,6 +40,8 @@
 	// stopState tells what the router does with new requests.
 	stopState func() stopping.State
 	arrived   func()
+	// routers is the number of routers that take part.
+	routers func() int
 
 	inProgress atomic.Int64
 	mu         sync.Mutex
@@ -86,6 +89,10 @@
 		h.reject(w, c, http.StatusBadRequest, err.Error())
 		return false
 	}
+	if headerBytes(c.request.Header) > held.Value.Limits.HeaderBytes {
+		h.reject(w, c, http.StatusRequestHeaderFieldsTooLarge, "headers are larger than the limit")
+		return false
+	}
 	patience := facts.Patience
 	if patience <= 0 {
 		patience = defaultPatience
@@ -182,17 +189,28 @@
 	h.logger.Info(message, append(fields, details...)...)
 }
 
-func (h *Handler) connections(service string) *connections {
+func (h *Handler) connections(service *catalog.Service) *connections {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	c := h.services[service]
+	c := h.services[service.Name]
 	if c == nil {
-		c = newConnections()
-		h.services[service] = c
+		c = newConnections(service.MaxConnections, h.routers())
+		h.services[service.Name] = c
 	}
 	return c
 }
 
+// headerBytes is the size of a request's headers on the wire.
+func headerBytes(h http.Header) int {
+	size := 0
+	for name, values := range h {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 // target is the request target as the caller sent it.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -83,10 +83,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, pool := range p.engines {
-		r.Loads = append(r.Loads, pool.Loads()...)
+		r.Loads = append(r.Loads, pool.Loads(now)...)
 	}
 	for _, pool := range p.plains {
-		r.Loads = append(r.Loads, pool.Loads()...)
+		r.Loads = append(r.Loads, pool.Loads(now)...)
 	}
 	r.Uses = p.meter.Sums(now)
 	r.Repeats = make(map[string]budget.Counts, len(p.repeats))
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -146,7 +146,7 @@
 		GotConn:      func(httptrace.GotConnInfo) { connected.Store(true) },
 		WroteHeaders: func() { wrote.Store(true) },
 	})
-	pool := h.connections(c.service.Name)
+	pool := h.connections(c.service)
 	response, err := pool.transport(c.route.Repeatable()).RoundTrip(h.outgoing(ctx, out, c, a))
 	if err != nil {
 		return classify(ctx, err, connected.Load(), wrote.Load())
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -156,10 +156,10 @@
 func (p *Pool) SetRemote(loads map[string]Load, failing map[string]int) { p.setRemote(loads, failing) }
 
 // Loads returns this router's own loads.
-func (p *Pool) Loads() []Load {
+func (p *Pool) Loads(now time.Time) []Load {
 	var loads []Load
 	for _, e := range p.order {
-		if load, ok := e.report(); ok {
+		if load, ok := e.report(now); ok {
 			loads = append(loads, load)
 		}
 	}
--- a/placement/health.go
+++ b/placement/health.go
@@ -34,12 +34,12 @@
 	trying   bool      // one request is trying the upstream
 }
 
+// paused tells whether the upstream gets no work because it failed.
+func (h *health) paused(now time.Time) bool { return h.pause > 0 && now.Before(h.until) }
+
 // usable tells whether the upstream may get work.
 func (h *health) usable(now time.Time) bool {
-	if h.pause == 0 {
-		return true
-	}
-	return !now.Before(h.until) && !h.trying
+	return h.pause == 0 || !h.paused(now) && !h.trying
 }
 
 // penalty is the failure ratio, the less the longer ago it was seen.
--- a/placement/health_test.go
+++ b/placement/health_test.go
@@ -102,7 +102,7 @@
 	p := plainPool(1)
 	ticket := p.Sent(start, catalog.Upstream{ID: "p0", DataCentre: "a", Slots: 6})
 	p.SetUpstreams([]catalog.Upstream{{ID: "p0", DataCentre: "a", Slots: 6, Born: 5}})
-	assert.Empty(t, p.Loads())
+	assert.Empty(t, p.Loads(start))
 	p.Ended(start, ticket, Unreachable)
 	assert.False(t, p.Place(start, PlainRequest{Left: time.Second}).Refused())
 }
@@ -124,3 +124,42 @@
 	assert.Equal(t, Overloaded, d.Reason)
 	assert.Positive(t, d.RetryAfter)
 }
+
+// Routers that all saw an upstream fail use it again once it is sound: the soak's
+// seeds 14, 38 and 39, where each one waited for the others' report to change.
+func TestRoutersDoNotKeepEachOtherFromTrying(t *testing.T) {
+	pools := []*PlainPool{plainPool(3), plainPool(3), plainPool(3)}
+	now := start
+	sound := false
+	used := 0
+	for step := range 1500 {
+		now = now.Add(10 * time.Millisecond)
+		sound = step > 500
+		failing := make([]map[string]int, len(pools))
+		for i := range pools {
+			failing[i] = map[string]int{}
+			for j, other := range pools {
+				for _, load := range other.Loads(now) {
+					if i != j && load.Failing {
+						failing[i][load.Upstream]++
+					}
+				}
+			}
+		}
+		for i, p := range pools {
+			if step > 20 { // all see the failures before the first reports
+				p.SetRemote(nil, failing[i])
+			}
+			id := p.run(now, func(id string) Outcome {
+				if id == "p0" && !sound {
+					return Failed
+				}
+				return Succeeded
+			})
+			if step > 1000 && id == "p0" {
+				used++
+			}
+		}
+	}
+	assert.Greater(t, used, 200)
+}
--- a/placement/member.go
+++ b/placement/member.go
@@ -30,10 +30,12 @@
 // load returns the load of all routers.
 func (m *member) load() Load { return m.own.plus(m.remote) }
 
-// report returns this router's own load for its report, false if there is none.
-func (m *member) report() (Load, bool) {
+// report returns this router's own load for its report, false if there is none. An
+// upstream whose pause is over is not reported as failing, or routers would keep
+// each other from ever trying it again.
+func (m *member) report(now time.Time) (Load, bool) {
 	load := m.own
-	load.Failing = m.health.pause > 0
+	load.Failing = m.health.paused(now)
 	if load == (Load{}) {
 		return load, false
 	}
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -83,10 +83,10 @@
 }
 
 // Loads returns this router's own loads.
-func (p *PlainPool) Loads() []Load {
+func (p *PlainPool) Loads(now time.Time) []Load {
 	var loads []Load
 	for _, s := range p.order {
-		if load, ok := s.report(); ok {
+		if load, ok := s.report(now); ok {
 			loads = append(loads, load)
 		}
 	}
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -74,7 +74,7 @@
 	}
 	for i := range simRouters {
 		pool := NewPool(DefaultEnginePolicy(), Place{"a", "r"}, map[string]string{"a": "r"}, uint64(i))
-		pool.SetUpstreams(upstreams, catalog.Engine{Slots: 64, MemoryTokens: 600_000, EventTokens: 7}, simEngines*simRate*1000/priorShare)
+		pool.SetUpstreams(upstreams, catalog.Engine{Slots: 64, MemoryTokens: 600_000}, simEngines*simRate*1000/priorShare)
 		s.routers = append(s.routers, pool)
 	}
 	return s
@@ -117,7 +117,7 @@
 func (s *simulation) exchange() {
 	loads := make([][]Load, len(s.routers))
 	for i, router := range s.routers {
-		loads[i] = router.Loads()
+		loads[i] = router.Loads(s.now)
 	}
 	for i, router := range s.routers {
 		remote := map[string]Load{}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -32,6 +32,7 @@
 // regressions are seeds that failed once, with the cause.
 var regressions = []uint64{
 	20, // long pauses of a stopped router were taken for the pace of its engines
+	38, // routers kept each other from trying an upstream again
 }
 
 func number(name string, fallback int) int {
