placement: the test of routers that avoid an upstream fails without its change

Cause: the test of the commit before passed without the change as well: a first failure made the other routers choose elsewhere, so they never paused themselves. Change: the upstream cannot be reached, which pauses it at every router at once.

--- a/placement/health_test.go
+++ b/placement/health_test.go
@@ -147,12 +147,12 @@
 			}
 		}
 		for i, p := range pools {
-			if step > 20 { // all see the failures before the first reports
+			if step > 50 { // all see the failures before the first reports
 				p.SetRemote(nil, failing[i])
 			}
 			id := p.run(now, func(id string) Outcome {
 				if id == "p0" && !sound {
-					return Failed
+					return Unreachable
 				}
 				return Succeeded
 			})
