--- a/fleet/report.go
+++ b/fleet/report.go
@@ -41,8 +41,6 @@
 	CallerAddress string `cbor:"4,keyasint,omitempty"`
 	DataCentre    string `cbor:"5,keyasint,omitempty"`
 	Region        string `cbor:"6,keyasint,omitempty"`
-	// Cores is the processor time of the host in cores; 0 if it is not known.
-	Cores float64 `cbor:"15,keyasint,omitempty"`
 }
 
 // Report is what a router says of itself several times a second.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -131,7 +131,7 @@
 	}
 	self := fleet.Record{
 		Host: s.PeerAddress, Incarnation: uint64(now.UnixMicro()), State: fleet.Starting,
-		CallerAddress: s.CallerAddress, DataCentre: s.DataCentre, Region: s.Region, Cores: s.Cores,
+		CallerAddress: s.CallerAddress, DataCentre: s.DataCentre, Region: s.Region,
 	}
 	g.transport = peer.NewQUIC(s.PeerAddress, identity, event.NewClock(nil), socket)
 	g.exchange = &exchange{
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -17,53 +17,22 @@
 	maxAddresses = 64
 )
 
-// smallHost is the part of the largest host's cores below which a host is not named
-// while there are enough larger ones. The callers of a workspace may all use one
-// router, whatever else they are told of, so no router should be much weaker than
-// the largest.
-const smallHost = 0.5
-
 // nearest returns the addresses of the routers nearest to a caller.
 func nearest(ready []fleet.Record, region, dataCentre string) []string {
-	var inDataCentre, inRegion []fleet.Record
+	var inDataCentre, inRegion, all []string
 	for _, r := range ready {
+		all = append(all, r.CallerAddress)
 		if r.Region == region {
-			inRegion = append(inRegion, r)
+			inRegion = append(inRegion, r.CallerAddress)
 		}
 		if r.DataCentre == dataCentre {
-			inDataCentre = append(inDataCentre, r)
+			inDataCentre = append(inDataCentre, r.CallerAddress)
 		}
 	}
-	for _, near := range [][]fleet.Record{inDataCentre, inRegion, ready} {
+	for _, near := range [][]string{inDataCentre, inRegion, all} {
 		if len(near) >= enoughRouters {
-			return addresses(largest(near))
-		}
-	}
-	return addresses(ready)
-}
-
-// largest leaves out small hosts if enough others remain.
-func largest(routers []fleet.Record) []fleet.Record {
-	most := 0.0
-	for _, r := range routers {
-		most = max(most, r.Cores)
-	}
-	var large []fleet.Record
-	for _, r := range routers {
-		if r.Cores >= smallHost*most {
-			large = append(large, r)
+			return near[:min(len(near), maxAddresses)]
 		}
 	}
-	if len(large) < enoughRouters {
-		return routers
-	}
-	return large
-}
-
-func addresses(routers []fleet.Record) []string {
-	var list []string
-	for _, r := range routers[:min(len(routers), maxAddresses)] {
-		list = append(list, r.CallerAddress)
-	}
-	return list
+	return all
 }
