soak: one restart of a router at a time

Cause: three router processes of earlier soak runs were still there: two faults restarted the same router at once, and the first of the two new processes was no longer known and never ended. Change: restarts of a router wait for each other. Ruled out: processes of a failed start; these end by themselves.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -63,6 +63,9 @@
 	store *proxy
 	log   *os.File
 
+	// restarting keeps two faults from starting a second process beside the first.
+	restarting sync.Mutex
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
@@ -166,6 +169,8 @@
 // restartAfter ends the process by a signal and starts it again. A process that is
 // still there after its grace is killed, and that is a fault.
 func (r *router) restartAfter(s syscall.Signal, down time.Duration) {
+	r.restarting.Lock()
+	defer r.restarting.Unlock()
 	ended := r.signal(s)
 	select {
 	case <-ended:
