fleet: remove a type and a field that nothing uses, call strings.Compare

Cause: the read-through of the change found Change, started and a comparison of strings written again. Ruled out: users elsewhere; the build and vet pass. Figures: the tests of fleet pass; no change of behaviour.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -34,7 +35,6 @@
 	members map[string]*member
 	seeds   map[string]time.Time // last probe
 	last    time.Time
-	started time.Time
 	count   uint64
 	// digestsOf are the latest digests by data centre; the one for this router as a
 	// member is under the empty name.
@@ -55,15 +55,9 @@
 	probed   time.Time
 }
 
-// Change is what a step has altered in who takes part.
-type Change struct {
-	Host  string
-	State string
-}
-
 // NewTable returns a table of self and seeds to probe.
 func NewTable(self Record, seeds []string, now time.Time) *Table {
-	t := &Table{self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, last: now, started: now, digestsOf: map[string]received{}}
+	t := &Table{self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, last: now, digestsOf: map[string]received{}}
 	for _, seed := range seeds {
 		if seed != self.Host {
 			t.seeds[seed] = time.Time{}
@@ -233,21 +227,11 @@
 			live = append(live, m.record)
 		}
 	}
-	slices.SortFunc(live, func(a, b Record) int { return compare(a.Host, b.Host) })
+	slices.SortFunc(live, func(a, b Record) int { return strings.Compare(a.Host, b.Host) })
 	t.liveNow, t.liveAt = live, now
 	return live
 }
 
-func compare(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 // Reports returns the latest report of each router that has sent one lately.
 func (t *Table) Reports(now time.Time) []*Report {
 	var reports []*Report
