gateway: give back only what the attempt was charged

Cause: an attempt that did not run gave its cost back to the share of its workspace, also when an earlier attempt, which may have run, had been charged and the later one had not. Found by reading; a workspace with such requests counted as less served than it was.

Change: an assignment remembers whether it was charged.

Ruled out: a further attempt after one that surely did not run is charged and given back as before.

--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -12,8 +12,11 @@
 	ticket *placement.Ticket
 	usage  float64
 	cost   float64
-	engine *placement.Pool
-	plain  *placement.PlainPool
+	// charged tells whether cost counts against the workspace's share because of
+	// this attempt. An attempt after one that may have run adds nothing.
+	charged bool
+	engine  *placement.Pool
+	plain   *placement.PlainPool
 }
 
 // assign decides on an upstream for the next attempt of c and books its work
@@ -57,8 +60,9 @@
 		}
 		return a
 	}
-	if c.attempts == 0 || !c.mayHaveRun {
+	if !c.mayHaveRun {
 		p.meter.Receive(now, workspace, a.cost)
+		a.charged = true
 	}
 	a.ticket = a.engine.Sent(now, request, a.Decision)
 	return a
@@ -92,7 +96,7 @@
 	if a.plain != nil {
 		return a.plain.Ended(now, a.ticket, outcome)
 	}
-	if !ran {
+	if !ran && a.charged {
 		p.meter.Receive(now, c.workspaceName(), -a.cost)
 	}
 	return a.engine.Ended(now, a.ticket, outcome)
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -41,4 +41,7 @@
 	a := p.assign(now, c)
 	assert.Equal(t, "e-2", a.Upstream.ID)
 	assert.Equal(t, before, p.meter.Sum(now, "w"), "not charged again")
+	// The first attempt may have run, so its charge stays when the second has not.
+	p.ended(now, c, &a, placement.Rejected, false)
+	assert.Equal(t, before, p.meter.Sum(now, "w"), "the first attempt's charge is not given back")
 }
