fake/site: one caller and one settings file for tests, soak and load

Cause: the stand-in of the platform could only be started from tests, and the soak and the tests of the gateway each had their own caller, readiness check and text of the settings file.

Change: fake/site has Caller, Router and Site; lacewing-fake site runs store and runners, lacewing-load site sends requests to routers on it and prints answers and times.

--- a/cmd/lacewing-fake/main.go
+++ b/cmd/lacewing-fake/main.go
@@ -19,6 +19,7 @@
 	subcommands.Register(&plainCommand{}, "")
 	subcommands.Register(&linksCommand{}, "")
 	subcommands.Register(&deploymentCommand{}, "")
+	subcommands.Register(&siteCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
--- a/cmd/lacewing-load/main.go
+++ b/cmd/lacewing-load/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(newRunCommand(), "")
 	subcommands.Register(summaryCommand{}, "")
 	subcommands.Register(&reportCommand{}, "")
+	subcommands.Register(&siteCommand{}, "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	status := subcommands.Execute(ctx)
--- /dev/null
+++ b/cmd/lacewing-load/site.go
@@ -0,0 +1,132 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"github.com/lacewingshift/lacewingshift/fake/site"
+)
+
+// sitePaths are the kinds of request, one after the other.
+var sitePaths = []string{site.StreamPath, site.StatusPath, site.OncePath, site.OrderPath}
+
+// siteCommand sends requests to routers on the stand-in of the platform.
+type siteCommand struct {
+	dir       string
+	seed      uint64
+	duration  time.Duration
+	patience  time.Duration
+	pause     time.Duration
+	callers   int
+	padding   int
+	only      string
+	reconnect bool
+}
+
+func (*siteCommand) Name() string     { return "site" }
+func (*siteCommand) Synopsis() string { return "send requests to a stand-in of the platform" }
+func (*siteCommand) Usage() string {
+	return "site -dir DIR [flags]\n" +
+		"Prints answers, times and broken promises. The exit status is 1 when an answer was\n" +
+		"wrong or cut off, and 2 when the run could not be made.\n"
+}
+
+func (c *siteCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.dir, "dir", "", "`directory` that lacewing-fake site has written")
+	f.Uint64Var(&c.seed, "seed", 1, "`seed` of the callers")
+	f.DurationVar(&c.duration, "duration", 10*time.Second, "`time` during which requests are sent")
+	f.DurationVar(&c.patience, "patience", 2*time.Second, "`time` after which a caller leaves")
+	f.DurationVar(&c.pause, "pause", 20*time.Millisecond, "`time` between an answer and the caller's next request")
+	f.IntVar(&c.callers, "callers", 20, "`number` of callers")
+	f.IntVar(&c.padding, "body", 1000, "`bytes` of a request's body")
+	f.StringVar(&c.only, "only", "", "only `address` to send to, instead of those the routers name")
+	f.BoolVar(&c.reconnect, "reconnect", false, "make a new connection for each request")
+}
+
+func (c *siteCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	routers, err := site.ReadRouters(c.dir)
+	if err != nil {
+		return unusable(eris.Wrap(errDescription, err.Error()))
+	}
+	outcomes := c.run(ctx, routers)
+	broken := 0
+	for _, o := range outcomes {
+		if o.Status == 200 && !(o.Complete && o.Sealed) {
+			broken++
+		}
+	}
+	if err := c.print(outcomes, broken); err != nil {
+		return unusable(err)
+	}
+	if broken > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// run lets the callers send until the time is over, and returns what they saw.
+func (c *siteCommand) run(ctx context.Context, routers []site.Router) []site.Outcome {
+	ctx, stop := context.WithTimeout(ctx, c.duration)
+	defer stop()
+	var (
+		mu       sync.Mutex
+		outcomes []site.Outcome
+		group    sync.WaitGroup
+	)
+	for i := range c.callers {
+		group.Go(func() {
+			caller := &site.Caller{
+				Name: fmt.Sprint("load-", i), Routers: routers, Patience: c.patience, Padding: c.padding,
+				Rand: rand.New(rand.NewPCG(c.seed, uint64(i))), Fixed: c.only, Reconnect: c.reconnect,
+			}
+			defer caller.Close()
+			for n := 0; ctx.Err() == nil; n++ {
+				// A request that has begun is seen to its end.
+				o := caller.Ask(context.WithoutCancel(ctx), sitePaths[n%len(sitePaths)])
+				mu.Lock()
+				outcomes = append(outcomes, o)
+				mu.Unlock()
+				time.Sleep(c.pause)
+			}
+		})
+	}
+	group.Wait()
+	return outcomes
+}
+
+func (c *siteCommand) print(outcomes []site.Outcome, broken int) error {
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "path\tstatus\tanswers\tmedian ms\tp95 ms")
+	for _, path := range sitePaths {
+		times := map[int][]time.Duration{}
+		for _, o := range outcomes {
+			if o.Path == path {
+				times[o.Status] = append(times[o.Status], o.Ended.Sub(o.Sent))
+			}
+		}
+		statuses := make([]int, 0, len(times))
+		for status := range times {
+			statuses = append(statuses, status)
+		}
+		slices.Sort(statuses)
+		for _, status := range statuses {
+			t := times[status]
+			slices.Sort(t)
+			fmt.Fprintf(table, "%s\t%d\t%d\t%.1f\t%.1f\n", path, status, len(t), millis(t[len(t)/2]), millis(t[len(t)*95/100]))
+		}
+	}
+	fmt.Fprintf(table, "all\t\t%d\tbroken %d\t%.0f a second\n", len(outcomes), broken, float64(len(outcomes))/c.duration.Seconds())
+	return table.Flush()
+}
+
+func millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/fake/site/caller.go
@@ -0,0 +1,158 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// lookupPatience bounds one question for addresses.
+const lookupPatience = time.Second
+
+// Outcome is what a caller saw of one request.
+type Outcome struct {
+	ID     string
+	Path   string
+	Router string // address; empty if none was known
+	Sent   time.Time
+	Ended  time.Time
+	// Status is 0 if there was no answer.
+	Status   int
+	Body     string
+	Complete bool
+	Sealed   bool
+}
+
+// Caller asks where to connect, keeps connections open and uses them until they
+// fail, as the platform's callers do. It is for one goroutine.
+type Caller struct {
+	// Name makes the ids of its requests unique.
+	Name string
+	// Routers are those that it may ask for addresses.
+	Routers  []Router
+	Patience time.Duration
+	Rand     *rand.Rand
+	// Padding is the size of the request bodies in bytes.
+	Padding int
+	// Fixed is the only address to send requests to; empty asks the routers.
+	Fixed string
+	// Reconnect makes a new connection for each request.
+	Reconnect bool
+
+	client    *http.Client
+	addresses []string
+	until     time.Time
+	count     int
+}
+
+// Close closes the idle connections.
+func (c *Caller) Close() {
+	if c.client != nil {
+		c.client.CloseIdleConnections()
+	}
+}
+
+// errNoAddress reports that no router has named an address.
+var errNoAddress = errors.New("no router names an address")
+
+// choose returns one of the addresses that the system names.
+func (c *Caller) choose(ctx context.Context) (string, error) {
+	if c.Fixed != "" {
+		return c.Fixed, nil
+	}
+	if time.Now().After(c.until) {
+		c.lookup(ctx)
+	}
+	if len(c.addresses) == 0 {
+		return "", errNoAddress
+	}
+	return c.addresses[c.Rand.IntN(len(c.addresses))], nil
+}
+
+// lookup asks routers until one has named addresses. The old ones stay if none
+// does.
+func (c *Caller) lookup(ctx context.Context) {
+	for range c.Routers {
+		router := c.Routers[c.Rand.IntN(len(c.Routers))]
+		if c.lookupAt(ctx, router) == nil {
+			return
+		}
+	}
+}
+
+func (c *Caller) lookupAt(ctx context.Context, router Router) error {
+	ctx, cancel := context.WithTimeout(ctx, lookupPatience)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+router.LookupAddress()+"/v1/lookup?name="+Host+"&region=r&zone=a", nil)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Addresses []string `json:"addresses"`
+		TTLS      float64  `json:"ttl_s"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return err
+	}
+	if len(answer.Addresses) == 0 {
+		return errNoAddress
+	}
+	c.addresses, c.until = answer.Addresses, time.Now().Add(time.Duration(answer.TTLS*float64(time.Second)))
+	return nil
+}
+
+// Ask sends one request and waits for the end of its answer.
+func (c *Caller) Ask(ctx context.Context, path string) Outcome {
+	if c.client == nil {
+		c.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableKeepAlives: c.Reconnect}}
+	}
+	c.count++
+	o := Outcome{ID: fmt.Sprintf("%s-%d", c.Name, c.count), Path: path, Sent: time.Now()}
+	ctx, cancel := context.WithTimeout(ctx, c.Patience)
+	defer cancel()
+	if err := c.ask(ctx, &o); err != nil {
+		c.until = time.Time{} // an address that failed is not used again
+	}
+	o.Ended = time.Now()
+	return o
+}
+
+func (c *Caller) ask(ctx context.Context, o *Outcome) error {
+	address, err := c.choose(ctx)
+	if err != nil {
+		return err
+	}
+	o.Router = address
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+o.Path+"x", strings.NewReader(strings.Repeat("x", max(c.Padding, 1))))
+	if err != nil {
+		return err
+	}
+	request.Host = Host
+	request.Header.Set("Request-Id", o.ID)
+	request.Header.Set("Deadline", fmt.Sprint(c.Patience.Milliseconds()))
+	request.Header.Set("Authorization", "Bearer "+[]string{Key, OtherKey}[c.Rand.IntN(2)])
+	if o.Path == StreamPath || o.Path == OncePath {
+		request.Header.Set("Token-Count", "300,40")
+		request.Header.Set("Prompt-Prefix", fmt.Sprintf("aa:50,t%d:150,%s:100", c.Rand.IntN(5), o.ID))
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	o.Status, o.Body, o.Complete = response.StatusCode, string(body), err == nil
+	o.Sealed = response.Header.Get("Response-Seal") != ""
+	return nil
+}
--- /dev/null
+++ b/fake/site/site.go
@@ -0,0 +1,123 @@
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Layout is the size of a stand-in.
+type Layout struct {
+	// Network is the first three bytes of its loopback addresses.
+	Network string
+	Routers int
+	Engines int
+	Plains  int
+}
+
+const (
+	maxRouters = 90
+	// engineHosts and plainHosts are where the addresses of the runners begin.
+	engineHosts = 100
+	plainHosts  = 150
+	maxRunners  = 50
+	storeHost   = 250
+
+	storePort  = "8781"
+	runnerPort = "8080"
+
+	// Runners read 1,000 tokens in layoutRead, send an event each layoutPause and
+	// answer plain requests after layoutWork.
+	layoutRead   = 12 * time.Millisecond
+	layoutPause  = 20 * time.Millisecond
+	layoutWork   = 20 * time.Millisecond
+	layoutEvents = 20
+	layoutGrace  = 8 * time.Second
+)
+
+// RoutersFile lists the routers of a stand-in as JSON.
+const RoutersFile = "routers.json"
+
+// ErrLayout reports a layout that has no room on its network.
+var ErrLayout = errors.New("layout is out of range")
+
+// Site is a running store with runners.
+type Site struct {
+	Store   *Store
+	Runners []*Runner
+	Routers []Router
+}
+
+// Start starts the store and the runners of a layout, and settles the addresses of
+// its routers. Errors: ErrLayout, and addresses that cannot be listened on.
+func Start(l Layout) (*Site, error) {
+	if l.Routers < 1 || l.Routers > maxRouters || l.Engines < 1 || l.Engines > maxRunners || l.Plains < 1 || l.Plains > maxRunners {
+		return nil, fmt.Errorf("%w: routers 1 to %d, engines and plains 1 to %d", ErrLayout, maxRouters, maxRunners)
+	}
+	ip := func(host int) string { return fmt.Sprintf("%s.%d", l.Network, host) }
+	store, err := NewStore(ip(storeHost) + ":" + storePort)
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{Store: store}
+	store.Put("config", "main", Config(1))
+	for i := range l.Engines + l.Plains {
+		host, r := engineHosts+i, &Runner{ID: fmt.Sprint("engine-", i), Service: EngineService, Events: layoutEvents, Work: layoutRead, Pause: layoutPause}
+		if i >= l.Engines {
+			host, r = plainHosts+i-l.Engines, &Runner{ID: fmt.Sprint("plain-", i-l.Engines), Service: PlainService, Work: layoutWork}
+		}
+		r.Zone = "a"
+		if _, err := StartRunner(store, ip(host)+":"+runnerPort, r); err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.Runners = append(s.Runners, r)
+	}
+	for i := range l.Routers {
+		s.Routers = append(s.Routers, Router{
+			Name: fmt.Sprint("router-", i), IP: ip(i + 1), Seed: ip(1), Store: store.Address(), Grace: layoutGrace,
+		})
+	}
+	return s, nil
+}
+
+// Write writes the settings file of each router, NAME.yaml, and RoutersFile.
+func (s *Site) Write(folder string) error {
+	for _, r := range s.Routers {
+		if err := os.WriteFile(filepath.Join(folder, r.Name+".yaml"), []byte(r.Settings()), 0o600); err != nil {
+			return err
+		}
+	}
+	list, err := json.MarshalIndent(s.Routers, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(folder, RoutersFile), list, 0o600)
+}
+
+// ReadRouters reads the routers that Write has listed in a folder.
+func ReadRouters(folder string) ([]Router, error) {
+	data, err := os.ReadFile(filepath.Join(folder, RoutersFile))
+	if err != nil {
+		return nil, err
+	}
+	var routers []Router
+	if err := json.Unmarshal(data, &routers); err != nil {
+		return nil, fmt.Errorf("%s: %w", RoutersFile, err)
+	}
+	if len(routers) == 0 {
+		return nil, fmt.Errorf("%s names no router", RoutersFile)
+	}
+	return routers, nil
+}
+
+// Close ends the store and the runners.
+func (s *Site) Close() {
+	for _, r := range s.Runners {
+		r.Close()
+	}
+	s.Store.Close()
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -191,9 +191,9 @@
 			first, second := s.start(true), s.start(true)
 			time.Sleep(400 * time.Millisecond) // the routers have met
 			for _, cutOff := range []*testRouter{first, second} {
-				s.store.Refuse(cutOff.ip, fault)
+				s.store.Refuse(cutOff.IP, fault)
 			}
-			s.store.Refuse(first.ip, site.NoFault)
+			s.store.Refuse(first.IP, site.NoFault)
 			config := site.Config(7)
 			config["routes"] = config["routes"].([]any)[2:3]
 			s.store.Put("config", "main", config)
@@ -236,9 +236,9 @@
 	r := s.start(false)
 	got := r.ask(request{path: site.OrderPath, id: newID()})
 	assert.Equal(t, http.StatusServiceUnavailable, got.status)
-	assert.False(t, r.ready())
+	assert.False(t, r.Ready())
 	s.store.SetFault(site.NoFault)
-	require.Eventually(t, r.ready, 3*time.Second, 20*time.Millisecond)
+	require.Eventually(t, r.Ready, 3*time.Second, 20*time.Millisecond)
 	assert.Equal(t, http.StatusOK, r.ask(request{path: site.OrderPath, id: newID()}).status)
 }
 
@@ -254,8 +254,8 @@
 	}
 	require.Eventually(t, func() bool { return s.engines[0].Running() > 0 }, time.Second, time.Millisecond)
 	first.stop()
-	require.Eventually(t, func() bool { return !first.ready() }, 500*time.Millisecond, 10*time.Millisecond)
-	require.Eventually(t, func() bool { return !strings.Contains(lookup(t, second), first.ip) }, time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return !first.Ready() }, 500*time.Millisecond, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return !strings.Contains(lookup(t, second), first.IP) }, time.Second, 10*time.Millisecond)
 	late := first.ask(request{path: site.OrderPath, id: newID()})
 	require.NoError(t, late.err)
 	assert.Equal(t, http.StatusOK, late.status)
@@ -268,7 +268,7 @@
 
 func lookup(t *testing.T, r *testRouter) string {
 	t.Helper()
-	response, err := http.Get("http://" + r.ip + ":8789/v1/lookup?name=" + site.Host + "&region=r&zone=a")
+	response, err := http.Get("http://" + r.LookupAddress() + "/v1/lookup?name=" + site.Host + "&region=r&zone=a")
 	require.NoError(t, err)
 	defer response.Body.Close()
 	body := make([]byte, 1024)
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -33,7 +33,7 @@
 }
 
 type testRouter struct {
-	ip    string
+	site.Router
 	stop  context.CancelFunc
 	ended chan error
 }
@@ -72,8 +72,10 @@
 // start starts a router and waits until it is ready if wait is set.
 func (s *testSite) start(wait bool) *testRouter {
 	s.t.Helper()
-	r := &testRouter{ip: s.ip(len(s.routers) + 1), ended: make(chan error, 1)}
-	settings, err := platform.ParseSettings([]byte(s.settings(r.ip)))
+	r := &testRouter{ended: make(chan error, 1)}
+	r.IP, r.Seed, r.Store, r.Grace = s.ip(len(s.routers)+1), s.ip(1), s.store.Address(), 3*time.Second
+	r.Name = "router-" + r.IP
+	settings, err := platform.ParseSettings([]byte(r.Settings()))
 	require.NoError(s.t, err)
 	g, err := gateway.New(settings, gateway.Options{}, log.New(io.Discard))
 	require.NoError(s.t, err)
@@ -91,35 +93,11 @@
 	})
 	s.routers = append(s.routers, r)
 	if wait {
-		require.Eventually(s.t, r.ready, 5*time.Second, 10*time.Millisecond, "router is ready")
+		require.Eventually(s.t, r.Ready, 5*time.Second, 10*time.Millisecond, "router is ready")
 	}
 	return r
 }
 
-func (s *testSite) settings(ip string) string {
-	return fmt.Sprintf(`
-node: "router-%[1]s"
-ip: "%[1]s"
-zone: a
-region: r
-zones: {a: r}
-listen: {front: "%[1]s:8783", ready: "%[1]s:8780", control: "%[1]s:8785", directory: "%[1]s:8789"}
-port_range: [7400, 7415]
-seeds: ["%[2]s:8785"]
-bounds: {grace_s: 3, ttl_max_s: 5, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58, quota_window_s: 4}
-provider: {address: "%[3]s"}
-`, ip, s.ip(1), s.store.Address())
-}
-
-func (r *testRouter) ready() bool {
-	response, err := http.Get("http://" + r.ip + ":8780/v1/readiness")
-	if err != nil {
-		return false
-	}
-	response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 // answer is what a caller saw.
 type answer struct {
 	status int
@@ -179,7 +157,7 @@
 
 func (r *testRouter) askWith(ctx context.Context, q request) answer {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{}).DialContext}}
-	response, err := client.Do(q.build(ctx, r.ip+":8783"))
+	response, err := client.Do(q.build(ctx, r.CallerAddress()))
 	if err != nil {
 		return answer{err: err}
 	}
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -57,9 +56,9 @@
 
 // router is one router over the lives of its process.
 type router struct {
+	site.Router
 	d     *deployment
 	index int
-	ip    string
 	store *proxy
 	log   *os.File
 
@@ -110,38 +109,25 @@
 	require.NoError(d.t, err)
 	log, err := os.Create(filepath.Join(d.folder, fmt.Sprintf("router-%d.log", index)))
 	require.NoError(d.t, err)
-	r := &router{d: d, index: index, ip: d.ip(index + 1), store: p, log: log}
-	require.NoError(d.t, os.WriteFile(r.settings(), []byte(d.settings(r)), 0o600))
+	r := &router{d: d, index: index, store: p, log: log, Router: site.Router{
+		Name: fmt.Sprint("router-", index), IP: d.ip(index + 1), Seed: d.ip(1), Store: p.address(), Grace: grace,
+	}}
+	require.NoError(d.t, os.WriteFile(r.file(), []byte(r.Settings()), 0o600))
 	r.start()
 	d.t.Cleanup(func() { r.kill(); _ = p.listener.Close(); _ = log.Close() })
 	d.routers = append(d.routers, r)
 }
 
-func (r *router) settings() string {
+func (r *router) file() string {
 	return filepath.Join(r.d.folder, fmt.Sprintf("router-%d.yaml", r.index))
 }
 
-func (d *deployment) settings(r *router) string {
-	return fmt.Sprintf(`
-node: "router-%d"
-ip: "%[2]s"
-zone: a
-region: r
-zones: {a: r}
-listen: {front: "%[2]s:8783", ready: "%[2]s:8780", control: "%[2]s:8785", directory: "%[2]s:8789"}
-port_range: [7400, 7415]
-seeds: ["%[3]s:8785"]
-bounds: {grace_s: %[5]d, ttl_max_s: 5, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58, quota_window_s: 4}
-provider: {address: "%[4]s"}
-`, r.index, r.ip, d.ip(1), r.store.address(), int(grace/time.Second))
-}
-
 // start starts the process.
 func (r *router) start() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	command := exec.Command(binary, "serve")
-	command.Env = []string{"LACEWINGSHIFT_NODE_FILE=" + r.settings()}
+	command.Env = []string{"LACEWINGSHIFT_NODE_FILE=" + r.file()}
 	command.Stdout, command.Stderr = r.log, r.log
 	if err := command.Start(); err != nil {
 		r.d.t.Errorf("router %d does not start: %v", r.index, err)
@@ -182,19 +168,9 @@
 	r.start()
 }
 
-func (r *router) isReady() bool {
-	client := http.Client{Timeout: 300 * time.Millisecond}
-	response, err := client.Get("http://" + r.ip + ":8780/v1/readiness")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
 func (d *deployment) allReady() bool {
 	for _, r := range d.routers {
-		if !r.isReady() {
+		if !r.Ready() {
 			return false
 		}
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -66,7 +66,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i := range callerCount {
-		callers.Go(func() { newCaller(d, record, seed, i).run(ctx) })
+		callers.Go(func() { d.call(ctx, record, seed, i) })
 	}
 	faults := &faults{d: d, rng: rand.New(rand.NewPCG(seed, 99))}
 	faults.run(length)
@@ -189,7 +189,7 @@
 }
 
 // check holds what callers saw against the promises.
-func check(t *testing.T, d *deployment, outcomes []outcome, quiet time.Time) {
+func check(t *testing.T, d *deployment, outcomes []site.Outcome, quiet time.Time) {
 	runs := map[string]int{}
 	for _, r := range d.runners {
 		for id, n := range r.Runs() {
@@ -198,13 +198,13 @@
 	}
 	served, late, total := 0, 0, 0
 	for _, o := range outcomes {
-		checkOne(t, o, runs[o.id])
-		if o.status == 200 && o.complete {
+		checkOne(t, o, runs[o.ID])
+		if o.Status == 200 && o.Complete {
 			served++
 		}
-		if o.sent.After(quiet.Add(recovery)) || o.sent.After(quiet) && d.allSentAfter(o, outcomes) {
+		if o.Sent.After(quiet.Add(recovery)) || o.Sent.After(quiet) && d.allSentAfter(o, outcomes) {
 			total++
-			if o.status == 200 && o.complete {
+			if o.Status == 200 && o.Complete {
 				late++
 			}
 		}
@@ -215,28 +215,28 @@
 }
 
 // allSentAfter tells whether a request belongs to the last two seconds.
-func (d *deployment) allSentAfter(o outcome, outcomes []outcome) bool {
-	return outcomes[len(outcomes)-1].ended.Sub(o.sent) < 2*time.Second
+func (d *deployment) allSentAfter(o site.Outcome, outcomes []site.Outcome) bool {
+	return outcomes[len(outcomes)-1].Ended.Sub(o.Sent) < 2*time.Second
 }
 
-func checkOne(t *testing.T, o outcome, runs int) {
-	switch o.status {
+func checkOne(t *testing.T, o site.Outcome, runs int) {
+	switch o.Status {
 	case 200:
-		if !o.complete {
+		if !o.Complete {
 			return
 		}
-		want := site.PlainBody(o.id)
-		if o.path == site.StreamPath || o.path == site.OncePath {
+		want := site.PlainBody(o.ID)
+		if o.Path == site.StreamPath || o.Path == site.OncePath {
 			want = site.StreamBody(1, 8)
 		}
-		assert.Equal(t, want, o.body, "answer to %s", o.id)
-		assert.True(t, o.sealed, "answer to %s has the runner's seal", o.id)
+		assert.Equal(t, want, o.Body, "answer to %s", o.ID)
+		assert.True(t, o.Sealed, "answer to %s has the runner's seal", o.ID)
 	case 503, 429, 408, 421:
-		assert.Zero(t, runs, "%s was told that it has not run", o.id)
+		assert.Zero(t, runs, "%s was told that it has not run", o.ID)
 	case 401, 404, 400, 413:
-		assert.Failf(t, "proper request rejected", "%s got %d: %s", o.id, o.status, o.body)
+		assert.Failf(t, "proper request rejected", "%s got %d: %s", o.ID, o.Status, o.Body)
 	}
-	if o.path == site.OrderPath || o.path == site.OncePath {
-		assert.LessOrEqual(t, runs, 1, "%s must not be repeated", o.id)
+	if o.Path == site.OrderPath || o.Path == site.OncePath {
+		assert.LessOrEqual(t, runs, 1, "%s must not be repeated", o.ID)
 	}
 }
