gateway: refuse requests when goroutines wait long for the processor

Change: each request yields the processor once and measures how long it waits to get it back.

Conclusion: the wait of a goroutine that yields is the signal.

--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -16,6 +16,7 @@
 	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/fake/site"
 	"github.com/lacewingshift/lacewingshift/fleet"
+	"github.com/lacewingshift/lacewingshift/overload"
 	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/platform"
 	"github.com/lacewingshift/lacewingshift/stopping"
@@ -36,7 +37,7 @@
 	config.Offer(platform.Config{Table: table}, 1, belief.Store, now)
 	h := &Handler{
 		config: config, pools: p, logger: log.New(io.Discard), admit: func() bool { return false }, metrics: newRequestMetrics(),
-		stopState: func() stopping.State { return stopping.Serving }, arrived: func() {}, services: map[string]*connections{},
+		stopState: func() stopping.State { return stopping.Serving }, arrived: func() {}, services: map[string]*connections{}, gate: overload.NewGate(),
 	}
 	body := strings.Repeat("x", 12000)
 	for b.Loop() {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -14,6 +14,8 @@
 	request  *http.Request
 	facts    platform.CallerRequest
 	received time.Time
+	// processorWait is how long the request has waited for the processor.
+	processorWait time.Duration
 	// deadline is when the caller leaves or the route's time is over.
 	deadline  time.Time
 	version   int64 // of the configuration
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/event"
 	"github.com/lacewingshift/lacewingshift/fleet"
+	"github.com/lacewingshift/lacewingshift/overload"
 	"github.com/lacewingshift/lacewingshift/pause"
 	"github.com/lacewingshift/lacewingshift/peer"
 	"github.com/lacewingshift/lacewingshift/placement"
@@ -104,7 +105,7 @@
 	g.handler = &Handler{
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admit: options.AdmitLine, metrics: newRequestMetrics(),
 		stopState: g.state, arrived: g.arrived,
-		routers: func() int { return len(g.exchange.ready()) }, services: map[string]*connections{},
+		routers: func() int { return len(g.exchange.ready()) }, services: map[string]*connections{}, gate: overload.NewGate(),
 	}
 	g.addGauges()
 	return g, g.listen(options)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -275,3 +278,29 @@
 	n, _ := response.Body.Read(body)
 	return string(body[:n])
 }
+
+// A router whose goroutines wait long for the processor refuses at once instead of
+// sending requests on late: the callers of one workspace kept one small router of
+// the grown sites so busy that it sent requests on seconds after they had left.
+func TestBusyProcessorRefuses(t *testing.T) {
+	s := newSite(t, 1, 1)
+	r := s.start(true)
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var stop atomic.Bool
+	var spinning sync.WaitGroup
+	for range 20 {
+		spinning.Go(func() {
+			for !stop.Load() {
+			}
+		})
+	}
+	q := request{path: site.StatusPath, id: newID(), deadline: 30000}
+	got := r.ask(q)
+	stop.Store(true)
+	spinning.Wait()
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status, got.body)
+	assert.NotEmpty(t, got.header.Get("Retry-After"))
+	assert.Zero(t, s.runs(q.id))
+	assert.Equal(t, http.StatusOK, r.ask(request{path: site.StatusPath, id: newID()}).status, "the processor is free again")
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -17,6 +17,7 @@
 
 	"github.com/lacewingshift/lacewingshift/belief"
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/overload"
 	"github.com/lacewingshift/lacewingshift/platform"
 	"github.com/lacewingshift/lacewingshift/stopping"
 )
@@ -25,6 +26,10 @@
 	// notReadyRetry is when a caller may come back to a router that knows no
 	// configuration yet, or to another one instead of one that stops.
 	notReadyRetry = 200 * time.Millisecond
+	// busyRetry is the least time after which a caller may come back to a router that
+	// is short of processor time; each gets up to twice of it, so that they do not
+	// come back together.
+	busyRetry = 300 * time.Millisecond
 	// defaultPatience is assumed for callers that do not say how long they wait.
 	defaultPatience = 30 * time.Second
 )
@@ -45,6 +50,7 @@
 
 	inProgress atomic.Int64
 	mu         sync.Mutex
+	gate       *overload.Gate
 	services   map[string]*connections
 }
 
@@ -53,7 +59,8 @@
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
 	h.arrived()
-	c := &call{request: r, received: time.Now()}
+	c := &call{request: r, received: time.Now(), processorWait: overload.ProcessorWait()}
+	h.metrics.processorWait.Update(c.processorWait.Seconds())
 	state := h.stopState()
 	if state != stopping.Serving {
 		w.Header().Set("Connection", "close")
@@ -65,6 +72,11 @@
 		h.refuse(w, c, notReadyRetry, "router stops")
 		return
 	}
+	if !h.admitted(c) {
+		after := busyRetry + time.Duration(rand.Float64()*float64(busyRetry))
+		h.refuse(w, c, after, "router is short of processor time", "processor_wait", c.processorWait)
+		return
+	}
 	if !h.readBody(w, c) {
 		return
 	}
@@ -75,6 +87,13 @@
 	h.dispatch(w, c)
 }
 
+// admitted tells whether the router has the processor time for a request.
+func (h *Handler) admitted(c *call) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gate.Admit(c.received, c.workspaceName(), c.processorWait)
+}
+
 // resolve finds route and workspace, and answers the request itself if there is
 // none.
 func (h *Handler) resolve(w http.ResponseWriter, c *call) bool {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,6 +17,7 @@
 	failed         *metrics.Counter
 	broken         *metrics.Counter
 	attemptsFailed *metrics.Counter
+	processorWait  *metrics.Histogram
 	ended          map[catalog.Kind]*metrics.Counter
 	duration       map[catalog.Kind]*metrics.Histogram
 	firstByte      map[catalog.Kind]*metrics.Histogram
@@ -31,6 +32,7 @@
 		failed:         set.NewCounter(`lacewing_requests_failed_total`),
 		broken:         set.NewCounter(`lacewing_requests_broken_off_total`),
 		attemptsFailed: set.NewCounter(`lacewing_attempts_failed_total`),
+		processorWait:  set.NewHistogram(`lacewing_processor_wait_seconds`),
 		ended:          map[catalog.Kind]*metrics.Counter{},
 		duration:       map[catalog.Kind]*metrics.Histogram{},
 		firstByte:      map[catalog.Kind]*metrics.Histogram{},
