demo: run routers on the stand-in of the platform

make demo starts store, runners and three lacewingd serve processes, sends requests of every kind and restarts one router meanwhile; make demo-cells is what make demo was.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= piedmont
 export DEPLOYMENT
 
-.PHONY: build test check unit target-scale demo up down bench soak soak-platform fuzz capacity
+.PHONY: build test check unit target-scale demo demo-cells up down bench soak soak-platform fuzz capacity
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -28,7 +28,11 @@
 target-scale:
 	$(GO) test -timeout 20m ./member
 
+# Routers on the stand-in of the platform; demo-cells runs the own interface.
 demo: build
+	scripts/demo-platform.sh
+
+demo-cells: build
 	scripts/demo.sh
 
 up: build
--- /dev/null
+++ b/scripts/demo-platform.sh
@@ -0,0 +1,58 @@
+#!/usr/bin/env bash
+# Runs routers as separate processes on the stand-in of the platform, sends
+# requests to them, restarts one router meanwhile, and stops everything. Exits
+# non-zero when an answer was wrong or cut off. LOAD_FLAGS go to lacewing-load
+# site, SITE_FLAGS to lacewing-fake site; the logs stay under run/site/log.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+dir=run/site
+pids=()
+stop() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+}
+trap stop EXIT
+
+rm -rf "$dir"
+mkdir -p "$dir/log"
+# shellcheck disable=SC2086
+bin/lacewing-fake site -dir "$dir" ${SITE_FLAGS:-} >"$dir/log/site.log" 2>&1 &
+pids+=($!)
+
+# wait_for PATTERN FILE... waits until the pattern stands in every file.
+wait_for() {
+  local pattern=$1
+  shift
+  for _ in $(seq 100); do
+    [ "$(grep -l -- "$pattern" "$@" 2>/dev/null | wc -l)" -eq $# ] && return
+    sleep 0.1
+  done
+  echo "not in every log after 10 s: $pattern" >&2
+  tail -n 5 "$@" >&2
+  exit 1
+}
+
+start() {
+  LACEWINGSHIFT_NODE_FILE="$1" bin/lacewingd serve -metrics "" >>"$dir/log/$(basename "$1" .yaml).log" 2>&1 &
+  started=$!
+  pids+=("$started")
+}
+
+wait_for "site runs" "$dir/log/site.log"
+logs=()
+for file in "$dir"/router-*.yaml; do
+  start "$file"
+  logs+=("$dir/log/$(basename "$file" .yaml).log")
+done
+wait_for "state=ready" "${logs[@]}"
+
+# shellcheck disable=SC2086
+bin/lacewing-load site -dir "$dir" ${LOAD_FLAGS:-} &
+load=$!
+if [ "${RESTART:-1}" = 1 ]; then
+  sleep 3
+  kill -TERM "$started"
+  wait "$started" || true
+  start "$file"
+fi
+wait "$load"
