gateway: no check of connections when they are accepted

Cause: the check closes connections that their callers have left, one system call for each connection.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -174,7 +174,7 @@
 
 func (g *Gateway) listenOn(address string) (net.Listener, error) {
 	if address == g.settings.CallerAddress {
-		return listenForCallers(address, g.handler.leftUnread)
+		return listenForCallers(address)
 	}
 	return net.Listen("tcp", address)
 }
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -7,7 +7,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -101,14 +100,6 @@
 	}
 }
 
-// leftUnread notes a connection that its caller left before it was accepted.
-func (h *Handler) leftUnread(connection net.Conn) {
-	h.metrics.leftUnread.Inc()
-	if h.admit() {
-		h.logger.Info("caller left before the connection was accepted", "caller", connection.RemoteAddr())
-	}
-}
-
 // admitted tells whether the router has the processor time for a request.
 func (h *Handler) admitted(c *call) bool {
 	h.mu.Lock()
--- a/gateway/left.go
+++ b/gateway/left.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"syscall"
-	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -56,35 +55,10 @@
 	return closed || err != nil
 }
 
-// callerListener accepts the connections of callers and closes those that their
-// callers have left before they were accepted. A router that is short of processor
-// time would otherwise spend it on requests that nobody waits for any more.
-type callerListener struct {
-	net.Listener
-	// left is called for each connection that was closed.
-	left func(net.Conn)
-}
-
 // listenForCallers listens without keep-alive probes, which take four system calls
 // for each connection: idle connections are closed after idleTimeout, and requests
 // end at their deadlines.
-func listenForCallers(address string, left func(net.Conn)) (net.Listener, error) {
-	config := net.ListenConfig{KeepAlive: -1 * time.Second}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return &callerListener{Listener: listener, left: left}, nil
-}
-
-// Accept implements net.Listener.
-func (l *callerListener) Accept() (net.Conn, error) {
-	for {
-		connection, err := l.Listener.Accept()
-		if err != nil || !isClosed(connection) {
-			return connection, err
-		}
-		l.left(connection)
-		_ = connection.Close() // nobody waits for the outcome
-	}
+func listenForCallers(address string) (net.Listener, error) {
+	config := net.ListenConfig{KeepAlive: -1}
+	return config.Listen(context.Background(), "tcp", address)
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -17,7 +17,6 @@
 	failed         *metrics.Counter
 	broken         *metrics.Counter
 	left           *metrics.Counter
-	leftUnread     *metrics.Counter
 	attemptsFailed *metrics.Counter
 	processorWait  *metrics.Histogram
 	ended          map[catalog.Kind]*metrics.Counter
@@ -34,7 +33,6 @@
 		failed:         set.NewCounter(`lacewing_requests_failed_total`),
 		broken:         set.NewCounter(`lacewing_requests_broken_off_total`),
 		left:           set.NewCounter(`lacewing_callers_left_early_total`),
-		leftUnread:     set.NewCounter(`lacewing_connections_left_unread_total`),
 		attemptsFailed: set.NewCounter(`lacewing_attempts_failed_total`),
 		processorWait:  set.NewHistogram(`lacewing_processor_wait_seconds`),
 		ended:          map[catalog.Kind]*metrics.Counter{},
