gateway: BenchmarkRefusal measures a refusal, remove a field that nothing reads

Cause: the benchmark's configuration had no limit for headers, so each request was rejected for its headers and never reached the decision. It now fails unless the answer is 503.

--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -30,7 +30,7 @@
 	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 8, MemoryTokens: 1 << 20}}
 	route := &catalog.Route{Name: "r", Host: site.Host, Prefix: "/", Kind: catalog.Stream, Backends: []catalog.Backend{{Service: "s", Weight: 1}}, Timeout: time.Second, Target: time.Second}
 	keys := map[string]*catalog.Workspace{site.Key: {Name: "w"}}
-	table := catalog.NewTable(1, []*catalog.Route{route}, []*catalog.Service{service}, keys, catalog.Limits{TokensPerSecond: 1000, BodyBytes: 1 << 20}, true)
+	table := catalog.NewTable(1, []*catalog.Route{route}, []*catalog.Service{service}, keys, catalog.Limits{TokensPerSecond: 1000, BodyBytes: 1 << 20, HeaderBytes: 1 << 14}, true)
 	p.setBeliefs(table, func(string) []catalog.Upstream { return nil }, now)
 	p.setRemote(now, &fleet.Totals{Uses: map[string]fairshare.Use{"w": {Asked: 9000, Received: 6000}, "other": {Asked: 9000, Received: 500}}}, 1)
 	config := belief.NewVersioned[platform.Config]()
@@ -48,6 +48,10 @@
 		r.Header.Set("Authorization", "Bearer "+site.Key)
 		r.Header.Set("Token-Count", "1000,100")
 		r.Header.Set("Prompt-Prefix", "aa:500,bb:400,cc:100")
-		h.ServeHTTP(httptest.NewRecorder(), r)
+		answer := httptest.NewRecorder()
+		h.ServeHTTP(answer, r)
+		if answer.Code != http.StatusServiceUnavailable {
+			b.Fatalf("the request was not refused: %d %s", answer.Code, answer.Body)
+		}
 	}
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -28,7 +28,6 @@
 	tried      []string // upstreams
 	mayHaveRun bool
 	upstream   string // of the latest attempt
-	wait       time.Duration
 	status     int
 	firstByte  time.Duration
 }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -74,7 +74,6 @@
 			return
 		}
 		a := h.pools.assign(now, c)
-		c.wait = a.Wait
 		if a.Refused() {
 			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, "wait", a.Wait, "usage", a.usage)
 			return
