--- a/placement/engine.go
+++ b/placement/engine.go
@@ -1,13 +1,9 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/lacewingshift/lacewingshift/catalog"
 )
 
@@ -70,12 +66,6 @@
 	}
 }
 
-// Part is a piece of a prompt that may be cached.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // EngineRequest is what the decision needs to know of a request.
 type EngineRequest struct {
 	Parts []Part
@@ -113,16 +103,6 @@
 	parts map[uint64]time.Time // latest use by chain hash
 }
 
-// Ticket is the work of one request at one engine until it ends.
-type Ticket struct {
-	Upstream catalog.Upstream
-	Read     int
-	memory   int
-	ahead    int // waiting tokens of others at the send
-	sent     time.Time
-	waiting  bool
-}
-
 // NewPool returns a pool without engines.
 func NewPool(policy EnginePolicy, home Place, regions map[string]string, seed uint64) *Pool {
 	return &Pool{
@@ -166,18 +146,6 @@
 	return loads
 }
 
-// chain returns the hashes of the prompt's parts, each over all parts up to it.
-func chain(parts []Part) []uint64 {
-	hashes := make([]uint64, len(parts))
-	digest := xxhash.New()
-	for i, part := range parts {
-		_, _ = digest.WriteString(part.ID)
-		_, _ = digest.WriteString(",")
-		hashes[i] = digest.Sum64()
-	}
-	return hashes
-}
-
 // candidate is an engine with its figures for one request.
 type candidate struct {
 	engine *engine
@@ -259,55 +227,6 @@
 	return Decision{Reason: reason, RetryAfter: spread(p.rng, wait), Wait: time.Duration(shortest.wait * float64(time.Millisecond))}
 }
 
-// shortestReturn is the least time after which a refused caller may come back:
-// about the time in which an engine ends a tenth of what it runs.
-const shortestReturn = 300 * time.Millisecond
-
-// spread returns a time between d and twice d, so that callers that were refused
-// together do not come back together.
-func spread(rng *rand.Rand, d time.Duration) time.Duration {
-	return d + time.Duration(rng.Float64()*float64(d))
-}
-
-// ranks returns the engines in the order in which all routers prefer them for a
-// prompt: by the last part that it shares with others, which is the part before
-// its own.
-func (p *Pool) ranks(hashes []uint64) map[*engine]int {
-	if len(hashes) < 2 {
-		return nil
-	}
-	shared := hashes[len(hashes)-2]
-	order := make([]*engine, 0, len(p.order))
-	for _, e := range p.order {
-		if !e.upstream.Leaving {
-			order = append(order, e)
-		}
-	}
-	slices.SortFunc(order, func(a, b *engine) int {
-		return cmp.Compare(rendezvous(shared, b.upstream.ID), rendezvous(shared, a.upstream.ID))
-	})
-	ranks := make(map[*engine]int, len(order))
-	for i, e := range order {
-		ranks[e] = i
-	}
-	return ranks
-}
-
-// held returns how many of the prompt's parts an engine is taken to have cached.
-// The home of a prompt gets it from all routers, so it is taken to hold all shared
-// parts.
-func (e *engine) held(now time.Time, hashes []uint64, home bool) int {
-	if home {
-		return len(hashes) - 1
-	}
-	for i := len(hashes) - 1; i >= 0; i-- {
-		if at, used := e.parts[hashes[i]]; used && now.Sub(at) < partMemory {
-			return i + 1
-		}
-	}
-	return 0
-}
-
 // weigh works out what the request would find at an engine.
 func (p *Pool) weigh(now time.Time, e *engine, r EngineRequest, hashes []uint64, ranks map[*engine]int) candidate {
 	rank := ranks[e]
@@ -360,102 +279,3 @@
 	gapLimit := p.policy.GapLimit * milliseconds(r.GapTarget)
 	return gapLimit == 0 || e.pace(now) < gapLimit || load.WaitingTokens == 0
 }
-
-// Sent notes that a request goes to the engine of a decision.
-func (p *Pool) Sent(now time.Time, r EngineRequest, d Decision) *Ticket {
-	t := &Ticket{Upstream: d.Upstream, Read: d.Read, memory: r.Prompt + r.Output, sent: now, waiting: true}
-	e := p.findEngine(t)
-	if e == nil {
-		return t
-	}
-	t.ahead = e.own.WaitingTokens + e.remote.WaitingTokens
-	e.own.WaitingTokens += t.Read
-	e.own.Requests++
-	e.own.MemoryTokens += t.memory
-	e.health.sent()
-	for _, hash := range chain(r.Parts) {
-		e.parts[hash] = now
-	}
-	if len(e.parts) > maxParts {
-		forget(e.parts, now)
-	}
-	return t
-}
-
-// forget drops parts that are no longer taken to be cached, and half of the
-// others if that was not enough.
-func forget(parts map[uint64]time.Time, now time.Time) {
-	for hash, at := range parts {
-		if now.Sub(at) >= partMemory || len(parts) > maxParts/2 {
-			delete(parts, hash)
-		}
-	}
-}
-
-func (p *Pool) findEngine(t *Ticket) *engine {
-	if p.find(t) == nil {
-		return nil
-	}
-	return p.engines[t.Upstream.ID]
-}
-
-// FirstEvent notes that the engine has read the prompt.
-func (p *Pool) FirstEvent(now time.Time, t *Ticket) {
-	e := p.findEngine(t)
-	if e == nil || !t.waiting {
-		return
-	}
-	t.waiting = false
-	e.own.WaitingTokens -= t.Read
-	work := float64(t.ahead + t.Read)
-	took := milliseconds(now.Sub(t.sent))
-	if work < rateSampleTokens || took <= 0 {
-		return
-	}
-	sample := min(max(work/took, p.prior/rateRange), p.prior*rateRange)
-	if e.rate == 0 {
-		e.rate = max(p.prior, 1)
-	}
-	e.rate = ewma(e.rate, sample, rateWeight)
-}
-
-// Pause notes the time between two events of a stream. Much longer pauses than the
-// target are no measure of the engine's pace: its path or this process was stopped.
-func (p *Pool) Pause(now time.Time, t *Ticket, pause, target time.Duration) {
-	if e := p.findEngine(t); e != nil {
-		e.gap = ewma(e.pace(now), milliseconds(min(pause, longestGap*target)), gapWeight)
-		e.gapAt = now
-	}
-}
-
-// pace is the mean pause between events in ms, the less the longer ago it was
-// seen, so that an engine that is spared for its pace is tried again.
-func (e *engine) pace(now time.Time) float64 { return fade(e.gap, now.Sub(e.gapAt)) }
-
-// Outcome tells how a request ended at an upstream.
-type Outcome uint8
-
-// Outcomes.
-const (
-	Succeeded   Outcome = iota + 1
-	Failed              // an error, or an answer that cannot be used
-	Rejected            // the upstream had no room
-	Unreachable         // no connection
-	Abandoned           // ended by the caller or this router
-)
-
-// Ended removes the request's load and learns from its outcome. It tells whether
-// the engine gets no more work because of it.
-func (p *Pool) Ended(now time.Time, t *Ticket, outcome Outcome) bool {
-	e := p.findEngine(t)
-	if e == nil {
-		return false
-	}
-	if t.waiting {
-		t.waiting = false
-		e.own.WaitingTokens -= t.Read
-	}
-	e.own.Requests--
-	e.own.MemoryTokens -= t.memory
-	return p.settle(&e.member, now, outcome)
-}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -84,3 +85,25 @@
 func ewma(average, sample, weight float64) float64 { return average + weight*(sample-average) }
 
 func excluded(list []string, id string) bool { return slices.Contains(list, id) }
+
+// Outcome tells how a request ended at an upstream.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Succeeded   Outcome = iota + 1
+	Failed              // an error, or an answer that cannot be used
+	Rejected            // the upstream had no room
+	Unreachable         // no connection
+	Abandoned           // ended by the caller or this router
+)
+
+// shortestReturn is the least time after which a refused caller may come back:
+// about the time in which an engine ends a tenth of what it runs.
+const shortestReturn = 300 * time.Millisecond
+
+// spread returns a time between d and twice d, so that callers that were refused
+// together do not come back together.
+func spread(rng *rand.Rand, d time.Duration) time.Duration {
+	return d + time.Duration(rng.Float64()*float64(d))
+}
