fleet: routers that start together connect to the likely relays only

Cause: a router that starts knows nobody who is live, so it took the fleet for a small one and reported to all that the store named: 72 routers made 5,112 connections of several kilobytes each.

Change: routers that were learnt of within the last minute count when the size of the fleet decides on relays. With relays, only the first two silent routers of each data centre and two others are tried each second, and those of other data centres from the second second on.

TestStartOfALargeFleet fails without the change.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// directLimit is the number of live routers up to which each reports to all.
+	// directLimit is the size of the fleet up to which each reports to all.
 	// Beyond it the messages of a router would grow with the fleet, and relays add
 	// the reports of a data centre up.
 	directLimit = 16
@@ -76,8 +76,18 @@
 	at     time.Time
 }
 
-// relayed tells whether reports travel by relays.
-func (t *Table) relayed(now time.Time) bool { return len(t.Live(now)) > directLimit }
+// relayed tells whether reports travel by relays. Routers that were not heard yet
+// count too, or all routers of a fleet that starts would connect to each other
+// before they know how many they are.
+func (t *Table) relayed(now time.Time) bool {
+	size := 1
+	for _, m := range t.members {
+		if m.live(now) || now.Sub(latest(m.heard, m.firstSaw)) < recentlyKnown {
+			size++
+		}
+	}
+	return size > directLimit
+}
 
 // relays returns the relays of a data centre.
 func (t *Table) relays(now time.Time, dataCentre string) []string {
@@ -117,7 +127,12 @@
 	if !t.passesOn(now) {
 		return append(messages, t.welcome(now, own, relays)...)
 	}
-	messages = append(messages, Message{To: t.silent(now), Envelope: Envelope{Report: own}})
+	from := anywhere
+	if now.Sub(t.began) < probeInterval {
+		// The relay of the own data centre may only not have been heard yet.
+		from = within(t.self.DataCentre)
+	}
+	messages = append(messages, Message{To: t.silent(now, from), Envelope: Envelope{Report: own}})
 	return append(messages, t.digests(now, own)...)
 }
 
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -23,6 +23,8 @@
 	flight []flying
 	loss   float64
 	sent   map[string]int // messages by sender
+	pairs  map[[2]string]bool
+	apart  func(from, to string) bool // nil: all reach each other
 	bytes  int
 }
 
@@ -34,7 +36,7 @@
 
 func newNetwork(routers, dataCentres int, loss float64) *network {
 	n := &network{
-		rng: rand.New(rand.NewPCG(1, 2)), now: start, tables: map[string]*Table{}, dead: map[string]bool{}, loss: loss, sent: map[string]int{},
+		rng: rand.New(rand.NewPCG(1, 2)), now: start, tables: map[string]*Table{}, dead: map[string]bool{}, loss: loss, sent: map[string]int{}, pairs: map[[2]string]bool{},
 	}
 	var records []Record
 	for i := range routers {
@@ -92,6 +94,10 @@
 		for _, to := range m.To {
 			n.sent[host]++
 			n.bytes += len(body)
+			n.pairs[[2]string{host, to}] = true
+			if n.apart != nil && n.apart(host, to) {
+				continue
+			}
 			if n.rng.Float64() < n.loss {
 				continue
 			}
@@ -195,3 +201,30 @@
 	}
 	assert.Equal(t, 3, far, "one relay of each data centre sends digests")
 }
+
+// Routers of a large fleet that start together connect to the relays and not each
+// to all others: 5,112 connections took 38 processor seconds and 0.11 GB between
+// regions at the start of grown Solas.
+func TestStartOfALargeFleet(t *testing.T) {
+	const routers = 72
+	n := newNetwork(routers, 6, 0)
+	n.run(t, 3*time.Second)
+	n.check(t, routers)
+	t.Logf("%d routers: %d connections", routers, len(n.pairs))
+	assert.Less(t, len(n.pairs), routers*(routers-1)/4)
+}
+
+// Regions that lost each other for some time know all again soon after the links
+// are back, although only a few silent routers are tried at once.
+func TestRegionsMeetAgain(t *testing.T) {
+	n := newNetwork(43, 6, 0)
+	n.run(t, 3*time.Second)
+	n.apart = func(from, to string) bool { return n.tables[from].Self().Region != n.tables[to].Self().Region }
+	n.run(t, 10*time.Second)
+	for _, host := range n.order {
+		assert.Less(t, len(n.tables[host].Live(n.now)), 20, host)
+	}
+	n.apart = nil
+	n.run(t, 3*time.Second)
+	n.check(t, 43)
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -21,6 +21,13 @@
 	knownEvery = 6
 	// probeInterval is the time between reports to silent routers.
 	probeInterval = time.Second
+	// probesOfOthers is the number of silent routers of one data centre, beside the
+	// likely relays, that are tried at once when relays are in use. One data centre
+	// of the target size is through in half a minute.
+	probesOfOthers = 2
+	// recentlyKnown is how long a router that was learnt of or heard counts as one of
+	// the fleet when its size decides whether relays are used.
+	recentlyKnown = time.Minute
 	// ForgetAfter is how long silent routers are probed. It exceeds the hour for
 	// which regions may lose each other.
 	ForgetAfter = 2 * time.Hour
@@ -40,6 +47,8 @@
 	// member is under the empty name.
 	digestsOf   map[string]received
 	digestCount int
+	began       time.Time
+	probed      time.Time // latest time that a silent router was tried
 
 	// liveNow is the result of Live at liveAt, nil after a change.
 	liveNow []Record
@@ -57,7 +66,7 @@
 
 // NewTable returns a table of self and seeds to probe.
 func NewTable(self Record, seeds []string, now time.Time) *Table {
-	t := &Table{self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, last: now, digestsOf: map[string]received{}}
+	t := &Table{self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, last: now, digestsOf: map[string]received{}, began: now}
 	for _, seed := range seeds {
 		if seed != self.Host {
 			t.seeds[seed] = time.Time{}
@@ -161,7 +170,7 @@
 // targets returns the hosts to send the next report to when each router reports to
 // all: those that are live, and now and then those that are silent.
 func (t *Table) targets(now time.Time) []string {
-	hosts := t.silent(now)
+	hosts := t.silent(now, anywhere)
 	for host, m := range t.members {
 		if m.live(now) {
 			hosts = append(hosts, host)
@@ -171,13 +180,29 @@
 	return hosts
 }
 
-// silent returns the silent hosts whose turn it is to be tried again.
-func (t *Table) silent(now time.Time) []string {
+// silent returns the silent hosts whose turn it is to be tried again. In a large
+// fleet these are a few of each data centre, since a connection costs several
+// kilobytes and one relay that answers tells of all others: the first ones by host,
+// which are the relays if they live, and those that were tried longest ago.
+func (t *Table) silent(now time.Time, from func(dataCentre string) bool) []string {
+	relayed := t.relayed(now)
+	turn := !relayed || now.Sub(t.probed) >= probeInterval
+	byDataCentre := map[string][]*member{}
+	for _, m := range t.members {
+		if dataCentre := m.record.DataCentre; turn && !m.live(now) && from(dataCentre) {
+			byDataCentre[dataCentre] = append(byDataCentre[dataCentre], m)
+		}
+	}
 	var hosts []string
-	for host, m := range t.members {
-		if !m.live(now) && now.Sub(m.probed) >= probeInterval {
-			m.probed = now
-			hosts = append(hosts, host)
+	for _, silent := range byDataCentre {
+		if relayed {
+			silent = likelyRelays(silent)
+		}
+		for _, m := range silent {
+			if now.Sub(m.probed) >= probeInterval {
+				m.probed, t.probed = now, now
+				hosts = append(hosts, m.record.Host)
+			}
 		}
 	}
 	for seed, probed := range t.seeds {
@@ -189,6 +214,25 @@
 	return hosts
 }
 
+// likelyRelays picks the first silent routers of a data centre by host and, of the
+// rest, those that were tried longest ago.
+func likelyRelays(silent []*member) []*member {
+	slices.SortFunc(silent, func(a, b *member) int { return strings.Compare(a.record.Host, b.record.Host) })
+	if len(silent) <= relaysPerDataCentre {
+		return silent
+	}
+	rest := silent[relaysPerDataCentre:]
+	slices.SortStableFunc(rest, func(a, b *member) int { return a.probed.Compare(b.probed) })
+	return silent[:min(relaysPerDataCentre+probesOfOthers, len(silent))]
+}
+
+// anywhere and within choose the data centres whose silent routers are tried.
+func anywhere(string) bool { return true }
+
+func within(own string) func(string) bool {
+	return func(dataCentre string) bool { return dataCentre == own }
+}
+
 // Addresses returns every host that a report may go to.
 func (t *Table) Addresses() map[string]uint64 {
 	addresses := map[string]uint64{}
