fake/site: model runners with slots and a prompt cache

The stand-in's model runners read every prompt whole and ran any number of streams, so neither placement by shared parts nor queues in front of engines showed there.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -39,6 +39,8 @@
 	Work time.Duration
 	// Pause is the time between events.
 	Pause time.Duration
+	// Slots are the streams that run at once, 8 if 0; more wait for a place.
+	Slots int
 	// Announced is the address that the runner registers; its own if empty.
 	Announced string
 
@@ -47,6 +49,7 @@
 	server    *http.Server
 	behaviour atomic.Uint32
 	reading   sync.Mutex // prompts are read one after the other
+	places    chan struct{}
 
 	mu      sync.Mutex
 	runs    map[string]int // by request id
@@ -55,8 +58,16 @@
 	state   string
 	running int
 	busiest int
+	cached  map[string]bool // beginnings of prompts whose parts are kept
+	read    int             // prompt tokens
 }
 
+const (
+	defaultSlots = 8
+	// maxCached is the number of beginnings after which the cache is emptied.
+	maxCached = 4096
+)
+
 // StartRunner starts a runner on address and registers it.
 func StartRunner(store *Store, address string, r *Runner) (*Runner, error) {
 	listener, err := net.Listen("tcp", address)
@@ -64,7 +75,11 @@
 		return nil, err
 	}
 	r.store, r.listener, r.state = store, listener, "ready"
-	r.runs, r.headers = map[string]int{}, map[string]http.Header{}
+	r.runs, r.headers, r.cached = map[string]int{}, map[string]http.Header{}, map[string]bool{}
+	if r.Slots == 0 {
+		r.Slots = defaultSlots
+	}
+	r.places = make(chan struct{}, r.Slots)
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(listener) }() // ends with Close
 	r.register()
@@ -75,7 +90,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.store.Put("servers", r.ID, map[string]any{
-		"service": r.Service, "address": r.announced(), "zone": r.Zone, "slots": 8, "state": r.state,
+		"service": r.Service, "address": r.announced(), "zone": r.Zone, "slots": r.Slots, "state": r.state,
 		"version": "v1", "cold_left_ms": 0, "seq": 1, "born": 1700000000000,
 	})
 }
@@ -233,13 +248,66 @@
 	_, _ = w.Write([]byte(body)) // the caller has left
 }
 
-func (r *Runner) stream(w http.ResponseWriter, request *http.Request, b Behaviour) {
+// readPrompt reads the parts of the prompt that are not kept from earlier ones, and
+// tells whether the caller is still there.
+func (r *Runner) readPrompt(request *http.Request) bool {
 	prompt, _, _ := strings.Cut(request.Header.Get("Token-Count"), ",")
-	tokens, _ := strconv.Atoi(prompt)
+	tokens, _ := strconv.Atoi(prompt) // a request without tokens is read at once
 	r.reading.Lock()
-	present := r.work(request, r.Work*time.Duration(tokens)/1000)
-	r.reading.Unlock()
-	if !present {
+	defer r.reading.Unlock()
+	beginnings, kept := r.kept(request.Header.Get("Prompt-Prefix"))
+	tokens = max(tokens-kept, 0)
+	if !r.work(request, r.Work*time.Duration(tokens)/1000) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.read += tokens
+	if len(r.cached) > maxCached {
+		clear(r.cached)
+	}
+	for _, beginning := range beginnings {
+		r.cached[beginning] = true
+	}
+	return true
+}
+
+// kept returns the beginnings of a prompt, part by part, and how many of its tokens
+// are kept.
+func (r *Runner) kept(prefix string) (beginnings []string, tokens int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	beginning, whole := "", true
+	for part := range strings.SplitSeq(prefix, ",") {
+		_, count, ok := strings.Cut(part, ":")
+		if !ok {
+			break
+		}
+		beginning += part + ","
+		beginnings = append(beginnings, beginning)
+		if whole = whole && r.cached[beginning]; whole {
+			n, _ := strconv.Atoi(count) // a part without a count holds nothing
+			tokens += n
+		}
+	}
+	return beginnings, tokens
+}
+
+// TokensRead returns the prompt tokens that were read so far.
+func (r *Runner) TokensRead() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.read
+}
+
+func (r *Runner) stream(w http.ResponseWriter, request *http.Request, b Behaviour) {
+	select {
+	case r.places <- struct{}{}:
+		defer func() { <-r.places }()
+	case <-request.Context().Done():
+		return
+	}
+	if !r.readPrompt(request) {
 		return
 	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
