placement: one copy of what engine and plain pools share

The pools of engines and of plain upstreams each had the loop that keeps the state of instances that stay, Loads and a SetRemote that only passed on. group has them once. Load.plus and excluded were second names for Plus and slices.Contains. Spread and ShortestReturn are exported for the gateway, which draws such times too.

No change of behaviour; the tests of placement pass, their assertions unchanged.

--- a/placement/engine.go
+++ b/placement/engine.go
@@ -116,34 +116,9 @@
 func (p *Pool) SetUpstreams(upstreams []catalog.Upstream, description catalog.Engine, tokensPerSecond float64) {
 	p.engine = description
 	p.prior = priorShare * tokensPerSecond / 1000 / float64(max(len(upstreams), 1))
-	current := make(map[string]*engine, len(upstreams))
-	p.members = make(map[string]*member, len(upstreams))
-	p.order = p.order[:0]
-	for _, u := range upstreams {
-		e := p.engines[u.ID]
-		if e == nil || !e.upstream.SameInstance(u) {
-			e = &engine{parts: map[uint64]time.Time{}}
-		}
-		e.upstream = u
-		current[u.ID] = e
-		p.members[u.ID] = &e.member
-		p.order = append(p.order, e)
-	}
-	p.engines = current
-}
-
-// SetRemote replaces the loads of the other routers.
-func (p *Pool) SetRemote(loads map[string]Load, failing map[string]int) { p.setRemote(loads, failing) }
-
-// Loads returns this router's own loads.
-func (p *Pool) Loads(now time.Time) []Load {
-	var loads []Load
-	for _, e := range p.order {
-		if load, ok := e.report(now); ok {
-			loads = append(loads, load)
-		}
-	}
-	return loads
+	p.engines, p.order = renew(&p.group, p.engines, upstreams, func() *engine {
+		return &engine{parts: map[uint64]time.Time{}}
+	})
 }
 
 // candidate is an engine with its figures for one request.
@@ -160,7 +135,7 @@
 // Place chooses the engine for a request.
 func (p *Pool) Place(now time.Time, r EngineRequest) Decision {
 	if r.Usage >= 1 && !r.MayExceed {
-		return Decision{Reason: OverShare, RetryAfter: spread(p.rng, shortestReturn)}
+		return Decision{Reason: OverShare, RetryAfter: Spread(ShortestReturn, p.rng.Float64())}
 	}
 	hashes := chain(r.Parts)
 	ranks := p.ranks(hashes)
@@ -223,8 +198,8 @@
 		reason = OverShare
 	}
 	over := max(shortest.ahead-limit, 0)
-	wait := time.Duration(over*float64(time.Millisecond)) + shortestReturn
-	return Decision{Reason: reason, RetryAfter: spread(p.rng, wait), Wait: time.Duration(shortest.wait * float64(time.Millisecond))}
+	wait := time.Duration(over*float64(time.Millisecond)) + ShortestReturn
+	return Decision{Reason: reason, RetryAfter: Spread(wait, p.rng.Float64()), Wait: time.Duration(shortest.wait * float64(time.Millisecond))}
 }
 
 // weigh works out what the request would find at an engine.
--- a/placement/member.go
+++ b/placement/member.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
@@ -24,11 +25,14 @@
 
 // excluded tells whether the upstream is no candidate at all.
 func (m *member) excluded(tried []string) bool {
-	return m.upstream.Leaving || excluded(tried, m.upstream.ID)
+	return m.upstream.Leaving || slices.Contains(tried, m.upstream.ID)
 }
 
+// base returns what the kinds of upstreams have in common.
+func (m *member) base() *member { return m }
+
 // load returns the load of all routers.
-func (m *member) load() Load { return m.own.plus(m.remote) }
+func (m *member) load() Load { return m.own.Plus(m.remote, 1) }
 
 // report returns this router's own load for its report, false if there is none. An
 // upstream whose pause is over is not reported as failing, or routers would keep
@@ -48,11 +52,45 @@
 	home    Place
 	regions map[string]string // region by data centre
 	members map[string]*member
-	usual   float64 // failure ratio of the service
+	listed  []*member // in the order of the upstreams
+	usual   float64   // failure ratio of the service
+}
+
+// renew replaces the upstreams of g and returns their states by id and in order.
+// The state of instances that stay is kept, others begin with a fresh one.
+func renew[S interface{ base() *member }](g *group, old map[string]S, upstreams []catalog.Upstream, fresh func() S) (map[string]S, []S) {
+	current := make(map[string]S, len(upstreams))
+	order := make([]S, 0, len(upstreams))
+	g.members = make(map[string]*member, len(upstreams))
+	g.listed = make([]*member, 0, len(upstreams))
+	for _, u := range upstreams {
+		state, known := old[u.ID]
+		if !known || !state.base().upstream.SameInstance(u) {
+			state = fresh()
+		}
+		m := state.base()
+		m.upstream = u
+		current[u.ID] = state
+		order = append(order, state)
+		g.members[u.ID] = m
+		g.listed = append(g.listed, m)
+	}
+	return current, order
+}
+
+// Loads returns this router's own loads.
+func (g *group) Loads(now time.Time) []Load {
+	var loads []Load
+	for _, m := range g.listed {
+		if load, ok := m.report(now); ok {
+			loads = append(loads, load)
+		}
+	}
+	return loads
 }
 
-// setRemote replaces the loads of the other routers.
-func (g *group) setRemote(loads map[string]Load, failing map[string]int) {
+// SetRemote replaces the loads of the other routers.
+func (g *group) SetRemote(loads map[string]Load, failing map[string]int) {
 	for id, m := range g.members {
 		m.remote = loads[id]
 		m.others = failing[id]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,8 +4,6 @@
 package placement
 
 import (
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,8 +25,6 @@
 	Failing bool `cbor:"5,keyasint,omitempty"`
 }
 
-func (l Load) plus(other Load) Load { return l.Plus(other, 1) }
-
 // Plus returns the sum of l and factor times other.
 func (l Load) Plus(other Load, factor int) Load {
 	l.WaitingTokens += factor * other.WaitingTokens
@@ -84,8 +80,6 @@
 // ewma moves average towards sample by weight.
 func ewma(average, sample, weight float64) float64 { return average + weight*(sample-average) }
 
-func excluded(list []string, id string) bool { return slices.Contains(list, id) }
-
 // Outcome tells how a request ended at an upstream.
 type Outcome uint8
 
@@ -98,12 +92,12 @@
 	Abandoned           // ended by the caller or this router
 )
 
-// shortestReturn is the least time after which a refused caller may come back:
+// ShortestReturn is the least time after which a refused caller may come back:
 // about the time in which an engine ends a tenth of what it runs.
-const shortestReturn = 300 * time.Millisecond
+const ShortestReturn = 300 * time.Millisecond
 
-// spread returns a time between d and twice d, so that callers that were refused
-// together do not come back together.
-func spread(rng *rand.Rand, d time.Duration) time.Duration {
-	return d + time.Duration(rng.Float64()*float64(d))
+// Spread returns a time between d and twice d, so that callers that were refused
+// together do not come back together; point is uniform in [0, 1).
+func Spread(d time.Duration, point float64) time.Duration {
+	return d + time.Duration(point*float64(d))
 }
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -61,36 +61,7 @@
 
 // SetUpstreams replaces the upstreams. Those that stay keep their state.
 func (p *PlainPool) SetUpstreams(upstreams []catalog.Upstream) {
-	current := make(map[string]*plain, len(upstreams))
-	p.members = make(map[string]*member, len(upstreams))
-	p.order = p.order[:0]
-	for _, u := range upstreams {
-		s := p.plains[u.ID]
-		if s == nil || !s.upstream.SameInstance(u) {
-			s = &plain{}
-		}
-		s.upstream = u
-		current[u.ID] = s
-		p.members[u.ID] = &s.member
-		p.order = append(p.order, s)
-	}
-	p.plains = current
-}
-
-// SetRemote replaces the loads of the other routers.
-func (p *PlainPool) SetRemote(loads map[string]Load, failing map[string]int) {
-	p.setRemote(loads, failing)
-}
-
-// Loads returns this router's own loads.
-func (p *PlainPool) Loads(now time.Time) []Load {
-	var loads []Load
-	for _, s := range p.order {
-		if load, ok := s.report(now); ok {
-			loads = append(loads, load)
-		}
-	}
-	return loads
+	p.plains, p.order = renew(&p.group, p.plains, upstreams, func() *plain { return &plain{} })
 }
 
 // Place chooses the upstream with the shortest predicted answer time.
@@ -116,7 +87,7 @@
 	wait := time.Duration(bestTime * float64(time.Millisecond))
 	if float64(wait) > p.policy.Full*float64(r.Left) {
 		over := wait - time.Duration(p.policy.Full*float64(r.Left))
-		return Decision{Reason: Overloaded, RetryAfter: spread(p.rng, over+shortestReturn), Wait: wait}
+		return Decision{Reason: Overloaded, RetryAfter: Spread(over+ShortestReturn, p.rng.Float64()), Wait: wait}
 	}
 	return Decision{Upstream: best.upstream, Wait: wait}
 }
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -126,7 +126,7 @@
 				continue
 			}
 			for _, l := range list {
-				remote[l.Upstream] = remote[l.Upstream].plus(l)
+				remote[l.Upstream] = remote[l.Upstream].Plus(l, 1)
 			}
 		}
 		router.SetRemote(remote, nil)
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -23,7 +23,7 @@
 	if e == nil {
 		return t
 	}
-	t.ahead = e.own.WaitingTokens + e.remote.WaitingTokens
+	t.ahead = e.load().WaitingTokens
 	e.own.WaitingTokens += t.Read
 	e.own.Requests++
 	e.own.MemoryTokens += t.memory
