fleet: silent decides itself which data centres it tries

Only one caller passed a function that named the own data centre, and its reason, the first second of a router, is the table's own. Known counted with a minute of its own beside recentlyKnown.

No change of behaviour; the tests of fleet pass unchanged.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -127,12 +127,7 @@
 	if !t.passesOn(now) {
 		return append(messages, t.welcome(now, own, relays)...)
 	}
-	from := anywhere
-	if now.Sub(t.began) < probeInterval {
-		// The relay of the own data centre may only not have been heard yet.
-		from = within(t.self.DataCentre)
-	}
-	messages = append(messages, Message{To: t.silent(now, from), Envelope: Envelope{Report: own}})
+	messages = append(messages, Message{To: t.silent(now), Envelope: Envelope{Report: own}})
 	return append(messages, t.digests(now, own)...)
 }
 
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -26,7 +26,7 @@
 	// of the target size is through in half a minute.
 	probesOfOthers = 2
 	// recentlyKnown is how long a router that was learnt of or heard counts as one of
-	// the fleet when its size decides whether relays are used.
+	// the fleet, whose size decides on relays and on the part of a budget.
 	recentlyKnown = time.Minute
 	// ForgetAfter is how long silent routers are probed. It exceeds the hour for
 	// which regions may lose each other.
@@ -170,7 +170,7 @@
 // targets returns the hosts to send the next report to when each router reports to
 // all: those that are live, and now and then those that are silent.
 func (t *Table) targets(now time.Time) []string {
-	hosts := t.silent(now, anywhere)
+	hosts := t.silent(now)
 	for host, m := range t.members {
 		if m.live(now) {
 			hosts = append(hosts, host)
@@ -184,25 +184,12 @@
 // fleet these are a few of each data centre, since a connection costs several
 // kilobytes and one relay that answers tells of all others: the first ones by host,
 // which are the relays if they live, and those that were tried longest ago.
-func (t *Table) silent(now time.Time, from func(dataCentre string) bool) []string {
-	relayed := t.relayed(now)
-	turn := !relayed || now.Sub(t.probed) >= probeInterval
-	byDataCentre := map[string][]*member{}
-	for _, m := range t.members {
-		if dataCentre := m.record.DataCentre; turn && !m.live(now) && from(dataCentre) {
-			byDataCentre[dataCentre] = append(byDataCentre[dataCentre], m)
-		}
-	}
+func (t *Table) silent(now time.Time) []string {
 	var hosts []string
-	for _, silent := range byDataCentre {
-		if relayed {
-			silent = likelyRelays(silent)
-		}
-		for _, m := range silent {
-			if now.Sub(m.probed) >= probeInterval {
-				m.probed, t.probed = now, now
-				hosts = append(hosts, m.record.Host)
-			}
+	for _, m := range t.toProbe(now) {
+		if now.Sub(m.probed) >= probeInterval {
+			m.probed, t.probed = now, now
+			hosts = append(hosts, m.record.Host)
 		}
 	}
 	for seed, probed := range t.seeds {
@@ -214,6 +201,31 @@
 	return hosts
 }
 
+// toProbe returns the silent routers that may be tried now.
+func (t *Table) toProbe(now time.Time) []*member {
+	relayed := t.relayed(now)
+	if relayed && now.Sub(t.probed) < probeInterval {
+		return nil
+	}
+	// At first the relay of the own data centre may only not have been heard yet.
+	nearOnly := relayed && now.Sub(t.began) < probeInterval
+	silent := map[string][]*member{} // by data centre
+	for _, m := range t.members {
+		dataCentre := m.record.DataCentre
+		if !m.live(now) && (!nearOnly || dataCentre == t.self.DataCentre) {
+			silent[dataCentre] = append(silent[dataCentre], m)
+		}
+	}
+	var chosen []*member
+	for _, members := range silent {
+		if relayed {
+			members = likelyRelays(members)
+		}
+		chosen = append(chosen, members...)
+	}
+	return chosen
+}
+
 // likelyRelays picks the first silent routers of a data centre by host and, of the
 // rest, those that were tried longest ago.
 func likelyRelays(silent []*member) []*member {
@@ -226,13 +238,6 @@
 	return silent[:min(relaysPerDataCentre+probesOfOthers, len(silent))]
 }
 
-// anywhere and within choose the data centres whose silent routers are tried.
-func anywhere(string) bool { return true }
-
-func within(own string) func(string) bool {
-	return func(dataCentre string) bool { return dataCentre == own }
-}
-
 // Addresses returns every host that a report may go to.
 func (t *Table) Addresses() map[string]uint64 {
 	addresses := map[string]uint64{}
@@ -299,7 +304,7 @@
 func (t *Table) Known(now time.Time) int {
 	count := 0
 	for _, m := range t.members {
-		if !m.heard.IsZero() && now.Sub(m.heard) < time.Minute && m.record.State != Leaving {
+		if !m.heard.IsZero() && now.Sub(m.heard) < recentlyKnown && m.record.State != Leaving {
 			count++
 		}
 	}
