gateway: listen for callers without special cases, remove what nothing reads

The server of callers was found by comparing addresses and by being the first; it is now made where it differs from the others.

No change of behaviour; the tests of gateway and platform pass unchanged.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -55,9 +54,7 @@
 func newTransport(idle time.Duration, perUpstream int) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			return dialer.DialContext(ctx, network, address)
-		},
+		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: perUpstream,
 		IdleConnTimeout:     idle,
 		DisableCompression:  true,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,14 +74,13 @@
 	machine     *stopping.Machine
 	connections atomic.Int64
 	revision    atomic.Int64 // of this router's record in the store
-	stopOrdered chan struct{}
 }
 
 // New opens the listeners and builds the parts. Errors: ErrListen.
 func New(s platform.Settings, options Options, logger *log.Logger) (*Gateway, error) {
 	now := time.Now()
 	g := &Gateway{
-		settings: s, logger: logger, stopOrdered: make(chan struct{}),
+		settings: s, logger: logger,
 		store:     platform.NewStore(s.StoreAddress),
 		config:    belief.NewVersioned[platform.Config](),
 		upstreams: belief.NewVersioned[*belief.Roster](),
@@ -144,7 +143,18 @@
 	return nil
 }
 
+// callerListening listens without keep-alive probes, which take four system calls
+// for each connection: idle connections are closed after idleTimeout, and requests
+// end at their deadlines.
+var callerListening = net.ListenConfig{KeepAlive: -1}
+
 func (g *Gateway) listen(options Options) error {
+	g.caller = newServer(g.handler)
+	g.caller.ConnState = g.countConnection
+	g.caller.ConnContext = withConnection
+	if err := g.serveOn(callerListening, g.settings.CallerAddress, g.caller); err != nil {
+		return err
+	}
 	ready := platform.ReadyHandler(g.ready)
 	lookup := platform.LookupHandler(func(region, dataCentre string) ([]string, time.Duration) {
 		return nearest(g.exchange.ready(), region, dataCentre), min(lookupLifetime, g.settings.Bounds.LookupTTL)
@@ -153,7 +163,6 @@
 		address string
 		handler http.Handler
 	}{
-		{g.settings.CallerAddress, g.handler},
 		{g.settings.ReadyAddress, ready},
 		{g.settings.LookupAddress, lookup},
 		{options.MetricsAddress, g.handler.metrics},
@@ -162,38 +171,33 @@
 		if server.address == "" {
 			continue
 		}
-		listener, err := g.listenOn(server.address)
-		if err != nil {
-			return eris.Wrapf(ErrListen, "%s: %v", server.address, err)
+		if err := g.serveOn(net.ListenConfig{}, server.address, newServer(server.handler)); err != nil {
+			return err
 		}
-		g.listeners = append(g.listeners, listener)
-		g.serveOn(listener, server.handler)
 	}
 	return nil
 }
 
-func (g *Gateway) listenOn(address string) (net.Listener, error) {
-	if address == g.settings.CallerAddress {
-		return listenForCallers(address)
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
-	return net.Listen("tcp", address)
 }
 
-// serveOn starts to serve a listener; it ends when the listener's server closes.
-func (g *Gateway) serveOn(listener net.Listener, handler http.Handler) {
-	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-	}
-	if g.caller == nil {
-		g.caller = server
-		server.ConnState = g.countConnection
-		server.ConnContext = withConnection
+// serveOn listens and starts to serve; it ends when the server or the listener
+// closes. Errors: ErrListen.
+func (g *Gateway) serveOn(config net.ListenConfig, address string, server *http.Server) error {
+	listener, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return eris.Wrapf(ErrListen, "%s: %v", address, err)
 	}
+	g.listeners = append(g.listeners, listener)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.logger.Error("listener failed", "address", listener.Addr(), "err", err)
 		}
 	}()
+	return nil
 }
 
 func (g *Gateway) countConnection(_ net.Conn, state http.ConnState) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -18,6 +18,7 @@
 	"github.com/lacewingshift/lacewingshift/belief"
 	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/overload"
+	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/platform"
 	"github.com/lacewingshift/lacewingshift/stopping"
 )
@@ -26,10 +27,6 @@
 	// notReadyRetry is when a caller may come back to a router that knows no
 	// configuration yet, or to another one instead of one that stops.
 	notReadyRetry = 200 * time.Millisecond
-	// busyRetry is the least time after which a caller may come back to a router that
-	// is short of processor time; each gets up to twice of it, so that they do not
-	// come back together.
-	busyRetry = 300 * time.Millisecond
 	// slowBody is the time to read a body after which the caller may have left. The
 	// bodies of most requests arrive together with their headers.
 	slowBody = 20 * time.Millisecond
@@ -78,7 +75,7 @@
 	h.leaveIfCallerHas(c)
 	if !h.admitted(c) {
 		h.pools.refused(c.received, c)
-		after := busyRetry + time.Duration(rand.Float64()*float64(busyRetry))
+		after := placement.Spread(placement.ShortestReturn, rand.Float64())
 		h.refuse(w, c, after, "router is short of processor time", "processor_wait", c.processorWait)
 		return
 	}
--- a/gateway/left.go
+++ b/gateway/left.go
@@ -54,11 +54,3 @@
 	})
 	return closed || err != nil
 }
-
-// listenForCallers listens without keep-alive probes, which take four system calls
-// for each connection: idle connections are closed after idleTimeout, and requests
-// end at their deadlines.
-func listenForCallers(address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAlive: -1}
-	return config.Listen(context.Background(), "tcp", address)
-}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -36,7 +36,7 @@
 	pause     time.Duration // longest between two events
 }
 
-func newRelay(w http.ResponseWriter, c *call) *relay {
+func newRelay(w http.ResponseWriter) *relay {
 	return &relay{w: w, flush: http.NewResponseController(w)}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -62,7 +62,7 @@
 
 // dispatch tries upstreams until one has answered.
 func (h *Handler) dispatch(w http.ResponseWriter, c *call) {
-	out := newRelay(w, c)
+	out := newRelay(w)
 	for {
 		now := time.Now()
 		if c.left(now) < minLeft {
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -73,7 +73,7 @@
 // age makes requests of the past count less.
 func (g *Gate) age(now time.Time) {
 	factor := math.Exp2(-float64(now.Sub(g.updated)) / float64(halfLife))
-	if factor > 0.99 && !g.updated.IsZero() {
+	if factor > 0.99 {
 		return // the rest is counted with the next larger step
 	}
 	g.updated, g.total = now, 0
