fake/site: one list of paths, no state that nothing reads

soak and lacewing-load had a list of the stand-in's paths each; site.Paths serves both. The runner's busiest count, Return, and the soak's paused were never read; the soak takes the settings variable's name from platform.

--- a/cmd/lacewing-load/site.go
+++ b/cmd/lacewing-load/site.go
@@ -17,9 +17,6 @@
 	"github.com/lacewingshift/lacewingshift/fake/site"
 )
 
-// sitePaths are the kinds of request, one after the other.
-var sitePaths = []string{site.StreamPath, site.StatusPath, site.OncePath, site.OrderPath}
-
 // siteCommand sends requests to routers on the stand-in of the platform.
 type siteCommand struct {
 	dir       string
@@ -92,7 +89,7 @@
 			defer caller.Close()
 			for n := 0; ctx.Err() == nil; n++ {
 				// A request that has begun is seen to its end.
-				o := caller.Ask(context.WithoutCancel(ctx), sitePaths[n%len(sitePaths)])
+				o := caller.Ask(context.WithoutCancel(ctx), site.Paths[n%len(site.Paths)])
 				mu.Lock()
 				outcomes = append(outcomes, o)
 				mu.Unlock()
@@ -107,7 +104,7 @@
 func (c *siteCommand) print(outcomes []site.Outcome, broken int) error {
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(table, "path\tstatus\tanswers\tmedian ms\tp95 ms")
-	for _, path := range sitePaths {
+	for _, path := range site.Paths {
 		times := map[int][]time.Duration{}
 		for _, o := range outcomes {
 			if o.Path == path {
--- a/fake/site/operator.go
+++ b/fake/site/operator.go
@@ -13,6 +13,9 @@
 	OtherKey      = "key-2"
 )
 
+// Paths has one path of each kind of route.
+var Paths = []string{StreamPath, OncePath, OrderPath, StatusPath}
+
 // Config returns a configuration with one route of each kind. StreamPath may be
 // resumed, OncePath may not.
 func Config(version int64) map[string]any {
--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -57,7 +58,6 @@
 	headers map[string]http.Header
 	state   string
 	running int
-	busiest int
 	cached  map[string]bool // beginnings of prompts whose parts are kept
 	read    int             // prompt tokens
 }
@@ -109,14 +109,9 @@
 func (r *Runner) Behave(b Behaviour) { r.behaviour.Store(uint32(b)) }
 
 // Drain announces that the runner leaves. It goes on serving.
-func (r *Runner) Drain() { r.setState("draining") }
-
-// Return announces that the runner takes work again.
-func (r *Runner) Return() { r.setState("ready") }
-
-func (r *Runner) setState(state string) {
+func (r *Runner) Drain() {
 	r.mu.Lock()
-	r.state = state
+	r.state = "draining"
 	r.mu.Unlock()
 	r.register()
 }
@@ -128,11 +123,7 @@
 func (r *Runner) Runs() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	runs := make(map[string]int, len(r.runs))
-	for id, n := range r.runs {
-		runs[id] = n
-	}
-	return runs
+	return maps.Clone(r.runs)
 }
 
 // Latest returns when the latest run began.
@@ -215,7 +206,6 @@
 	r.latest = time.Now()
 	r.headers[id] = h.Clone()
 	r.running++
-	r.busiest = max(r.busiest, r.running)
 }
 
 func (r *Runner) end() {
--- a/scripts/demo-platform.sh
+++ b/scripts/demo-platform.sh
@@ -33,7 +33,7 @@
 }
 
 start() {
-  LACEWINGSHIFT_NODE_FILE="$1" bin/lacewingd serve -metrics "" >>"$dir/log/$(basename "$1" .yaml).log" 2>&1 &
+  LACEWINGSHIFT_NODE_FILE="$1" bin/lacewingd serve >>"$dir/log/$(basename "$1" .yaml).log" 2>&1 &
   started=$!
   pids+=("$started")
 }
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -29,8 +29,6 @@
 	return slices.Clone(r.outcomes)
 }
 
-var paths = []string{site.StreamPath, site.OncePath, site.OrderPath, site.StatusPath}
-
 const (
 	callerCount = 12
 	callerPause = 15 * time.Millisecond
@@ -48,7 +46,7 @@
 	defer caller.Close()
 	for ctx.Err() == nil {
 		// A request that has begun is seen to its end.
-		if o := caller.Ask(context.WithoutCancel(ctx), paths[caller.Rand.IntN(len(paths))]); o.Router != "" {
+		if o := caller.Ask(context.WithoutCancel(ctx), site.Paths[caller.Rand.IntN(len(site.Paths))]); o.Router != "" {
 			record.add(o)
 		}
 		time.Sleep(callerPause)
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/fake/site"
+	"github.com/lacewingshift/lacewingshift/platform"
 )
 
 const (
@@ -68,7 +69,6 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
-	paused  bool
 }
 
 func newDeployment(t *testing.T, network int) *deployment {
@@ -127,14 +127,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	command := exec.Command(binary, "serve")
-	command.Env = []string{"LACEWINGSHIFT_NODE_FILE=" + r.file()}
+	command.Env = []string{platform.SettingsVariable + "=" + r.file()}
 	command.Stdout, command.Stderr = r.log, r.log
 	if err := command.Start(); err != nil {
 		r.d.t.Errorf("router %d does not start: %v", r.index, err)
 		return
 	}
 	ended := make(chan struct{})
-	r.process, r.ended, r.paused = command, ended, false
+	r.process, r.ended = command, ended
 	go func() {
 		_ = command.Wait() // how it ended shows in its log
 		close(ended)
@@ -146,7 +146,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_ = r.process.Process.Signal(s) // it may have ended
-	r.paused = s == syscall.SIGSTOP
 	return r.ended
 }
 
