gateway, fleet: log and measure what decides about a share

A refusal over the share logged only the usage. That cannot tell late sums from wrong shares or from a router that is short of processor time. Lines about requests to engines now state the tokens granted here and by the others, the share, and the age of the reports; sums of reports carry that age through relays. Refusals are counted by reason, and histograms show the usage at each grant and the age of the reports at each decision.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -167,11 +167,11 @@
 // and for each member of this data centre the sums over all other routers.
 func (t *Table) digestMessages(now time.Time, own *Report) []Message {
 	localTotals := newTotals()
-	localTotals.addReport(own, 1)
+	localTotals.addReport(own, 0, 1)
 	var members []*member
 	for _, m := range t.members {
 		if m.report != nil && now.Sub(m.reportedAt) < LiveTimeout && m.record.DataCentre == t.self.DataCentre {
-			localTotals.addReport(m.report, 1)
+			localTotals.addReport(m.report, now.Sub(m.reportedAt), 1)
 			members = append(members, m)
 		}
 	}
@@ -197,7 +197,7 @@
 	for _, m := range members {
 		totals := newTotals()
 		totals.add(fleetTotals)
-		totals.addReport(m.report, -1)
+		totals.addReport(m.report, now.Sub(m.reportedAt), -1)
 		messages = append(messages, Message{
 			To:       []string{m.record.Host},
 			Envelope: Envelope{Report: own, Digest: &Digest{Totals: totals, Members: liveRouters}},
@@ -258,14 +258,14 @@
 func (t *Table) Totals(now time.Time) *Totals {
 	usesRelays := t.usesRelays(now)
 	if r, ok := t.digests[""]; ok && now.Sub(r.receivedAt) < LiveTimeout && usesRelays {
-		return r.digest.Totals
+		return r.digest.Totals.aged(now.Sub(r.receivedAt))
 	}
 	totals := newTotals()
 	for _, m := range t.members {
 		// Reports of relays in other data centres are included in their digests.
 		included := !usesRelays || m.record.DataCentre == t.self.DataCentre
 		if included && m.report != nil && now.Sub(m.reportedAt) < LiveTimeout {
-			totals.addReport(m.report, 1)
+			totals.addReport(m.report, now.Sub(m.reportedAt), 1)
 		}
 	}
 	if usesRelays {
@@ -278,7 +278,7 @@
 func (t *Table) addRemoteDigests(now time.Time, totals *Totals) {
 	for dataCentre, r := range t.digests {
 		if dataCentre != "" && dataCentre != t.self.DataCentre && now.Sub(r.receivedAt) < LiveTimeout {
-			totals.add(r.digest.Totals)
+			totals.add(r.digest.Totals.aged(now.Sub(r.receivedAt)))
 		}
 	}
 }
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -233,3 +233,16 @@
 	n.run(t, 3*time.Second)
 	n.check(t, 43)
 }
+
+// The age of the sums must include every hop, because decisions depend on it.
+func TestAgeOfSumsIncludesRelays(t *testing.T) {
+	n := newNetwork(67, 6, 0)
+	n.run(t, 4*time.Second)
+	for _, host := range n.order {
+		before := n.tables[host].Totals(n.now).MeanAge()
+		after := n.tables[host].Totals(n.now.Add(100 * time.Millisecond)).MeanAge()
+		assert.Positive(t, before, host)
+		assert.Less(t, before, 4*ReportInterval, host)
+		assert.InDelta(t, 100*time.Millisecond, after-before, float64(5*time.Millisecond), host)
+	}
+}
--- a/fleet/totals.go
+++ b/fleet/totals.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/placement"
@@ -10,6 +12,8 @@
 type Totals struct {
 	// Routers is the number of reports in the sum.
 	Routers int `cbor:"1,keyasint,omitempty"`
+	// AgeMs is the sum of the ages of the reports, network delays not included.
+	AgeMs int64 `cbor:"6,keyasint,omitempty"`
 	// Loads and Failing are keyed by upstream; Failing counts the routers that have
 	// ejected it.
 	Loads   map[string]placement.Load `cbor:"2,keyasint,omitempty"`
@@ -27,9 +31,25 @@
 	}
 }
 
-// addReport adds a report, or with sign -1 subtracts it.
-func (t *Totals) addReport(r *Report, sign int) {
+// MeanAge returns the mean age of the reports, network delays not included.
+func (t *Totals) MeanAge() time.Duration {
+	if t.Routers <= 0 {
+		return 0
+	}
+	return time.Duration(t.AgeMs) * time.Millisecond / time.Duration(t.Routers)
+}
+
+// aged returns t with all reports older by age. The result shares the maps of t.
+func (t *Totals) aged(age time.Duration) *Totals {
+	older := *t
+	older.AgeMs += int64(t.Routers) * age.Milliseconds()
+	return &older
+}
+
+// addReport adds a report of the given age, or with sign -1 subtracts it.
+func (t *Totals) addReport(r *Report, age time.Duration, sign int) {
 	t.Routers += sign
+	t.AgeMs += int64(sign) * age.Milliseconds()
 	for _, load := range r.Loads {
 		t.Loads[load.Upstream] = t.Loads[load.Upstream].Plus(load, sign)
 		if load.Failing {
@@ -47,6 +67,7 @@
 // add adds other totals.
 func (t *Totals) add(other *Totals) {
 	t.Routers += other.Routers
+	t.AgeMs += other.AgeMs
 	for upstream, load := range other.Loads {
 		t.Loads[upstream] = t.Loads[upstream].Plus(load, 1)
 	}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/placement"
@@ -10,8 +11,8 @@
 type assignment struct {
 	placement.Decision
 	ticket *placement.Ticket
-	usage  float64 // of the workspace's share before a first attempt; 0 for a retry
-	cost   float64 // in tokens; 0 for a plain service
+	share  shareUse // of the workspace before a first attempt; zero for a retry
+	cost   float64  // in tokens; 0 for a plain service
 	// charged is set if this attempt charged cost to the workspace's share. An
 	// attempt that follows one that may have run charges nothing.
 	charged    bool
@@ -19,6 +20,23 @@
 	plainPool  *placement.PlainPool
 }
 
+// shareUse is what a workspace has used of its share, as seen by one router.
+type shareUse struct {
+	usage     float64       // as a multiple of the share, counting half of the cost of the next request
+	own       float64       // tokens granted by this router within the window
+	others    float64       // tokens granted by the other routers, as last reported
+	share     float64       // tokens that the workspace may be granted within the window
+	reportAge time.Duration // mean age of the reports that others is the sum of
+}
+
+// logFields returns the fields of a log line.
+func (s shareUse) logFields() []any {
+	return []any{
+		"usage", math.Round(100*s.usage) / 100, "own", math.Round(s.own), "others", math.Round(s.others),
+		"share", math.Round(s.share), "report_age", s.reportAge.Round(time.Millisecond),
+	}
+}
+
 // assign chooses an upstream for the next attempt of c and adds the request to its
 // load.
 func (p *pools) assign(now time.Time, c *call) assignment {
@@ -48,11 +66,11 @@
 	workspace := c.workspaceName()
 	if c.attempts == 0 {
 		p.meter.AddRequested(now, workspace, a.cost)
-		a.usage = p.usage(now, workspace, a.cost)
+		a.share = p.shareUse(now, workspace, a.cost)
 	}
 	// A retry has already been charged to the share, so it is placed with usage 0.
-	request := c.engineRequest(a.usage)
-	request.MayExceed = p.shares.MayExceed(a.usage)
+	request := c.engineRequest(a.share.usage)
+	request.MayExceed = p.shares.MayExceed(a.share.usage)
 	a.Decision = a.enginePool.Place(now, request)
 	if a.Refused() {
 		if a.Reason == placement.Overloaded {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -177,7 +177,7 @@
 	c.status = http.StatusServiceUnavailable
 	platform.SetRouterHeaders(w.Header(), c.headers.ID, retryAfter)
 	h.answer(w, c.status, reason)
-	h.metrics.refused.Inc()
+	h.metrics.refusedFor(reason)
 	h.log(c, "request refused", append([]any{"reason", reason, "retry_after", retryAfter}, details...)...)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,6 +20,8 @@
 	callersLeft    *metrics.Counter
 	attemptsFailed *metrics.Counter
 	processorWait  *metrics.Histogram
+	usageAtGrant   *metrics.Histogram
+	reportAge      *metrics.Histogram
 	answeredTotal  map[catalog.Kind]*metrics.Counter
 	duration       map[catalog.Kind]*metrics.Histogram
 	firstByte      map[catalog.Kind]*metrics.Histogram
@@ -35,6 +38,8 @@
 		callersLeft:    set.NewCounter(`lacewing_callers_left_early_total`),
 		attemptsFailed: set.NewCounter(`lacewing_attempts_failed_total`),
 		processorWait:  set.NewHistogram(`lacewing_processor_wait_seconds`),
+		usageAtGrant:   set.NewHistogram(`lacewing_usage_at_grant`),
+		reportAge:      set.NewHistogram(`lacewing_report_age_seconds`),
 		answeredTotal:  map[catalog.Kind]*metrics.Counter{},
 		duration:       map[catalog.Kind]*metrics.Histogram{},
 		firstByte:      map[catalog.Kind]*metrics.Histogram{},
@@ -48,6 +53,24 @@
 	return m
 }
 
+// refusedFor counts a refusal by its reason, without the text of an error in it.
+func (m *requestMetrics) refusedFor(reason string) {
+	m.refused.Inc()
+	reason, _, _ = strings.Cut(reason, ":")
+	m.set.GetOrCreateCounter(`lacewing_refusals_total{reason="` + reason + `"}`).Inc()
+}
+
+// assigned records the share that decided about a request to an engine.
+func (m *requestMetrics) assigned(a *assignment) {
+	if a.share.share <= 0 {
+		return
+	}
+	m.reportAge.Update(a.share.reportAge.Seconds())
+	if !a.Refused() {
+		m.usageAtGrant.Update(a.share.usage)
+	}
+}
+
 // answered counts a request that an upstream has answered.
 func (m *requestMetrics) answered(c *call) {
 	m.answeredTotal[c.route.Kind].Inc()
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -29,8 +29,9 @@
 	reportingRouters int                         // other routers that the sums cover
 	knownRouters     int                         // other routers that exist
 	shares           fairshare.Shares
-	capacity         float64   // tokens per window
-	remoteAt         time.Time // when the sums were set
+	capacity         float64       // tokens per window
+	remoteAt         time.Time     // when the sums were set
+	remoteAge        time.Duration // mean age of the reports in the sums at remoteAt
 }
 
 func newPools(location placement.Location, regions map[string]string, retryLimits budget.Limits, shareWindow time.Duration, now time.Time) *pools {
@@ -103,7 +104,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.remoteTokens, p.remoteRetries = totals.WorkspaceTokens, totals.Retries
-	p.reportingRouters, p.knownRouters, p.remoteAt = totals.Routers, knownRouters, now
+	p.reportingRouters, p.knownRouters, p.remoteAt, p.remoteAge = totals.Routers, knownRouters, now, totals.MeanAge()
 	for _, pool := range p.enginePools {
 		pool.SetRemote(totals.Loads, totals.Failing)
 	}
@@ -122,11 +123,15 @@
 	p.shares = fairshare.Compute(p.capacity, byWorkspace)
 }
 
-// usage returns what a workspace has been granted as a multiple of its share,
-// counting half of the cost of the next request.
-func (p *pools) usage(now time.Time, workspace string, cost float64) float64 {
-	granted := p.meter.Sum(now, workspace).Granted + p.remoteTokens[workspace].Granted
-	return p.shares.Usage(granted, cost)
+// shareUse returns what a workspace has used of its share before a request of the
+// given cost.
+func (p *pools) shareUse(now time.Time, workspace string, cost float64) shareUse {
+	use := shareUse{
+		own: p.meter.Sum(now, workspace).Granted, others: p.remoteTokens[workspace].Granted,
+		share: p.shares.MaxMinShare, reportAge: p.remoteAge + now.Sub(p.remoteAt),
+	}
+	use.usage = p.shares.Usage(use.own+use.others, cost)
+	return use
 }
 
 // allowRetry takes one retry from the fleet's budget, if it has any left.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -76,8 +76,9 @@
 			return
 		}
 		a := h.pools.assign(now, c)
+		h.metrics.assigned(&a)
 		if a.Refused() {
-			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, "wait", a.Wait, "usage", a.usage)
+			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, append([]any{"wait", a.Wait}, a.share.logFields()...)...)
 			return
 		}
 		if c.attempts == 0 {
@@ -92,8 +93,8 @@
 			h.logger.Warn("upstream ejected", "upstream", c.upstream, "request", c.headers.ID, "reason", r.reason)
 		}
 		if r.attemptStatus == answered {
-			h.log(c, "request ended", "reason", r.reason, "wait", a.Wait, "first", c.firstByte,
-				"read", a.ReadTokens, "rank", a.Rank, "usage", a.usage, "events", out.events, "pause", out.eventGap)
+			h.log(c, "request ended", append([]any{"reason", r.reason, "wait", a.Wait, "first", c.firstByte,
+				"read", a.ReadTokens, "rank", a.Rank, "events", out.events, "pause", out.eventGap}, a.share.logFields()...)...)
 			return
 		}
 		c.mayHaveRun = c.mayHaveRun || r.attemptStatus == maybeRan
