gateway: end a stream whose event exceeds the limit

Callers saw their connection close without an answer when an engine sent bytes without end in a stream: above 1 MiB without the end of an event the relay classified a nil error and panicked. The request's load stayed on its upstream for good. The attempt now ends with an error of its own, so that the stream continues at another engine after its last whole event.

The stand-in's runners can send a head or a body without end.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -26,6 +26,8 @@
 	Unsealed                 // responds without a seal
 	Misdirected              // responds that it is another instance
 	WrongRequestID           // responds with the id of another request
+	EndlessHead              // sends a response head without end
+	EndlessBody              // sends a body without end and, in a stream, without events
 )
 
 // Runner is a model engine or an instance of a plain service. It is safe for
@@ -50,6 +52,7 @@
 	listener      net.Listener
 	server        *http.Server
 	behaviour     atomic.Uint32
+	endlessBytes  atomic.Int64
 	readLock      sync.Mutex // prompts are read one after the other
 	slotSemaphore chan struct{}
 
@@ -183,6 +186,9 @@
 	case Hanging:
 		<-request.Context().Done()
 		panic(http.ErrAbortHandler)
+	case EndlessHead:
+		r.sendEndlessHead(w, request)
+		return
 	case WrongRequestID:
 		w.Header().Set("Request-Id", "another")
 	}
@@ -194,6 +200,10 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if b == EndlessBody {
+		r.sendEndless(w, request)
+		return
+	}
 	if r.Events > 0 {
 		r.stream(w, request, b)
 		return
@@ -201,6 +211,41 @@
 	r.plain(w, request, b)
 }
 
+// endlessChunk and endlessInterval are how a runner sends bytes without end: fast
+// enough to pass each limit within a second, without filling the processor.
+const (
+	endlessChunk    = 64 << 10
+	endlessInterval = time.Millisecond
+)
+
+// sendEndless sends bytes until the caller closes the connection.
+func (r *Runner) sendEndless(w io.Writer, request *http.Request) {
+	chunk := []byte(strings.Repeat("x", endlessChunk))
+	for {
+		n, err := w.Write(chunk)
+		r.endlessBytes.Add(int64(n))
+		if err != nil || !r.work(request, endlessInterval) {
+			return
+		}
+	}
+}
+
+// EndlessBytes returns how many bytes EndlessHead and EndlessBody have sent so far.
+func (r *Runner) EndlessBytes() int64 { return r.endlessBytes.Load() }
+
+// sendEndlessHead sends a header field without end until the caller closes the
+// connection.
+func (r *Runner) sendEndlessHead(w http.ResponseWriter, request *http.Request) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer connection.Close()
+	if _, err := io.WriteString(connection, "HTTP/1.1 200 OK\r\nX-Field: "); err == nil {
+		r.sendEndless(connection, request)
+	}
+}
+
 func (r *Runner) startRun(id string, h http.Header) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/platform"
 )
@@ -21,6 +23,9 @@
 	maxEventBytes = 1 << 20
 )
 
+// errEventTooLarge ends a stream whose event exceeds maxEventBytes.
+var errEventTooLarge = eris.New("event is larger than the limit")
+
 var (
 	eventEnd = []byte("\n\n")
 	idField  = []byte("id:")
@@ -102,7 +107,10 @@
 		if errors.Is(err, io.EOF) {
 			return h.endStream(out, c, a, response, pending)
 		}
-		if err != nil || len(pending) > maxEventBytes {
+		if err == nil && len(pending) > maxEventBytes {
+			err = errEventTooLarge
+		}
+		if err != nil {
 			r := classify(ctx, err, true, true)
 			r.reason = "stream broke off: " + r.reason
 			return r
