gateway: limit the heads of upstreams' responses

A head without end was read until net/http's limit of 10 MiB, once for each request in progress; a router has 184 MB. Heads are now limited to 64 KiB like those of callers.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -61,6 +61,8 @@
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -19,7 +19,7 @@
 // An engine that sends a head or events without end must not fill the router's
 // memory, and its streams must continue at another engine.
 func TestStreamsWithoutEndContinueElsewhere(t *testing.T) {
-	for name, behaviour := range map[string]site.Behaviour{"body": site.EndlessBody} {
+	for name, behaviour := range map[string]site.Behaviour{"head": site.EndlessHead, "body": site.EndlessBody} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, 2, 1)
 			r := s.start(true)
@@ -43,7 +43,7 @@
 // A plain service that sends a head or a body without end must not hold a request
 // past its deadline, and the response must not look complete.
 func TestPlainResponsesWithoutEndBreakOff(t *testing.T) {
-	for name, behaviour := range map[string]site.Behaviour{"body": site.EndlessBody} {
+	for name, behaviour := range map[string]site.Behaviour{"head": site.EndlessHead, "body": site.EndlessBody} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, 1, 1)
 			r := s.start(true)
