fairshare: grant each router its part of a share as a rate

Cause: every router compared the sum of all grants of the last 4 s with the share. The others' grants are 0.15 to 0.4 s old when a decision uses them, not counting network delays. When a window empties, all routers see room and grant until they learn of each other's grants; the burst leaves the window at once 4 s later and repeats. A router that alone serves a workspace sees its own grants at once and stays at one share. Class of fault: a control loop over a shared counter that is read late, with a gain that grows with the routers.

Both workspaces have the same share (733 and 720 thousand tokens); the one on 72 routers is granted at a usage of 0.57 (median) that is 2.6 half a second later, 180 requests within a quarter second and then none for a second. Ruled out: different shares, and want of processor time (128 of 3,022 lines of the router of the other workspace).

Change: a router has the part of the share that it has of the workspace's requests, as a rate that fills a token bucket. The part does not depend on what others have granted, so late reports do not matter; what was granted above or below the share corrects the rate by at most a half, with a gain that is stable for reports late by a good part of the window. A bucket may go into debt, so a request larger than a router's part passes. The same cause elsewhere: spare capacity was granted by the same sums (limit 0.6 above the lowest usage, every router at once), and has a bucket of its own now, with a rate that falls to zero at 0.3. Retry budgets divide their remainder by the routers already. A request within the rate has a limit on waits that no longer falls to almost nothing as usage nears 1, since usage now stays there.

--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -196,7 +196,7 @@
 	unmetRatio = 0.1
 	// spareSlack is how far a workspace's usage may exceed the lowest one for it to
 	// use capacity beyond its share.
-	spareSlack = 0.6
+	spareSlack = 0.3
 )
 
 // Compute returns the shares of a nominal capacity within the window.
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -54,9 +54,10 @@
 // each one generated.
 func (c *call) cost() float64 { return float64(c.headers.PromptTokens + 2*c.expectedOutput()) }
 
-func (c *call) engineRequest(usage float64) placement.EngineRequest {
+func (c *call) engineRequest(share shareUse) placement.EngineRequest {
 	return placement.EngineRequest{
 		Parts: c.headers.Parts, InputTokens: c.headers.PromptTokens, OutputTokens: c.expectedOutput(),
-		TargetLatency: c.route.TargetLatency, TargetGap: c.route.TargetGap, Usage: usage, Exclude: c.tried,
+		TargetLatency: c.route.TargetLatency, TargetGap: c.route.TargetGap, Exclude: c.tried,
+		Usage: share.usage, BeyondShare: !share.within, MayExceed: share.mayExceed,
 	}
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -22,6 +22,8 @@
 
 // shareUse is what a workspace has used of its share, as seen by one router.
 type shareUse struct {
+	within    bool          // the request is within this router's part of the share
+	mayExceed bool          // the request may use spare capacity
 	usage     float64       // as a multiple of the share, counting half of the cost of the next request
 	own       float64       // tokens granted by this router within the window
 	others    float64       // tokens granted by the other routers, as last reported
@@ -32,7 +34,7 @@
 // logFields returns the fields of a log line.
 func (s shareUse) logFields() []any {
 	return []any{
-		"usage", math.Round(100*s.usage) / 100, "own", math.Round(s.own), "others", math.Round(s.others),
+		"within", s.within, "usage", math.Round(100*s.usage) / 100, "own", math.Round(s.own), "others", math.Round(s.others),
 		"share", math.Round(s.share), "report_age", s.reportAge.Round(time.Millisecond),
 	}
 }
@@ -64,13 +66,14 @@
 		return a
 	}
 	workspace := c.workspaceName()
+	// The first attempt has already been charged to the share, so that a retry is
+	// placed with usage 0.
+	a.share = shareUse{within: true}
 	if c.attempts == 0 {
 		p.meter.AddRequested(now, workspace, a.cost)
-		a.share = p.shareUse(now, workspace, a.cost)
+		a.share = p.fillBuckets(now, workspace, a.cost)
 	}
-	// A retry has already been charged to the share, so it is placed with usage 0.
-	request := c.engineRequest(a.share.usage)
-	request.MayExceed = p.shares.MayExceed(a.share.usage)
+	request := c.engineRequest(a.share)
 	a.Decision = a.enginePool.Place(now, request)
 	if a.Refused() {
 		if a.Reason == placement.Overloaded {
@@ -80,6 +83,7 @@
 	}
 	if !c.mayHaveRun {
 		p.meter.AddGranted(now, workspace, a.cost)
+		p.chargeShare(workspace, &a, a.cost)
 		a.charged = true
 	}
 	a.ticket = a.enginePool.Sent(now, request, a.Decision)
@@ -129,6 +133,7 @@
 	}
 	if !ran && a.charged {
 		p.meter.AddGranted(now, c.workspaceName(), -a.cost)
+		p.chargeShare(c.workspaceName(), a, -a.cost)
 	}
 	return a.enginePool.Ended(now, a.ticket, outcome)
 }
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -63,11 +63,11 @@
 	}
 	other := &fleet.Totals{WorkspaceTokens: map[string]fairshare.Tokens{"other": {Requested: 9000, Granted: 3500}}}
 	p.setRemote(now, other, 1)
-	assert.Less(t, p.shareUse(now, "other", 100).usage, 1.0, "a single workspace may use all capacity")
+	assert.Less(t, p.fillBuckets(now, "other", 100).usage, 1.0, "a single workspace may use all capacity")
 
 	p.countRefused(now, c)
 	p.setRemote(now, other, 1)
-	usage := p.shareUse(now, "other", 100).usage
+	usage := p.fillBuckets(now, "other", 100).usage
 	assert.Greater(t, usage, 1.0, "it was granted more than half")
 	assert.False(t, p.shares.MayExceed(usage))
 }
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -24,6 +24,8 @@
 	plainPools       map[string]*placement.PlainPool  // by service
 	retryBudgets     map[string]*budget.Window        // by service
 	meter            *fairshare.Meter
+	shareBuckets     *fairshare.Buckets          // what this router may grant within shares
+	spareBuckets     *fairshare.Buckets          // what it may grant beyond them
 	remoteTokens     map[string]fairshare.Tokens // by workspace; the sum over the other routers
 	remoteRetries    map[string]budget.Counts    // by service; the sum over the other routers
 	reportingRouters int                         // other routers that the sums cover
@@ -39,6 +41,7 @@
 		location: location, regions: regions, retryLimits: retryLimits, shareWindow: shareWindow,
 		enginePools: map[string]*placement.EnginePool{}, plainPools: map[string]*placement.PlainPool{},
 		retryBudgets: map[string]*budget.Window{}, meter: fairshare.NewMeter(shareWindow, now),
+		shareBuckets: fairshare.NewBuckets(), spareBuckets: fairshare.NewBuckets(),
 	}
 }
 
@@ -112,6 +115,8 @@
 		pool.SetRemote(totals.Loads, totals.Failing)
 	}
 	p.computeShares(now)
+	p.shareBuckets.DropIdle(now)
+	p.spareBuckets.DropIdle(now)
 }
 
 // computeShares recomputes the shares from the tokens of all workspaces.
@@ -123,15 +128,31 @@
 	p.shares = fairshare.Compute(p.capacity, byWorkspace)
 }
 
-// shareUse returns what a workspace has used of its share before a request of the
-// given cost.
-func (p *pools) shareUse(now time.Time, workspace string, cost float64) shareUse {
-	use := shareUse{
-		own: p.meter.Sum(now, workspace).Granted, others: p.remoteTokens[workspace].Granted,
-		share: p.shares.MaxMinShare, reportAge: p.remoteAge + now.Sub(p.remoteAt),
+// chargeShare charges tokens to the bucket that an assignment draws on. A negative
+// number takes a charge back.
+func (p *pools) chargeShare(workspace string, a *assignment, tokens float64) {
+	if a.share.within {
+		p.shareBuckets.Take(workspace, tokens)
+		return
+	}
+	p.spareBuckets.Take(workspace, tokens)
+}
+
+// fillBuckets fills the buckets of a workspace and returns what it has used of its
+// share before a request of the given cost.
+func (p *pools) fillBuckets(now time.Time, workspace string, cost float64) shareUse {
+	own, others := p.meter.Sum(now, workspace), p.remoteTokens[workspace]
+	total := own.Add(others)
+	shareRate, spareRate := p.shares.Rates(own, total, p.shareWindow)
+	hasShare := p.shareBuckets.Fill(now, workspace, shareRate)
+	hasSpare := p.spareBuckets.Fill(now, workspace, spareRate)
+	usage := p.shares.Usage(total.Granted, cost)
+	return shareUse{
+		own: own.Granted, others: others.Granted, share: p.shares.MaxMinShare, usage: usage,
+		within:    hasShare || !p.shares.Backlogged(total),
+		mayExceed: hasSpare && p.shares.MayExceed(usage),
+		reportAge: p.remoteAge + now.Sub(p.remoteAt),
 	}
-	use.usage = p.shares.Usage(use.own+use.others, cost)
-	return use
 }
 
 // allowRetry takes one retry from the fleet's budget, if it has any left.
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -55,8 +55,14 @@
 	services map[string]*catalog.Workspace
 	// granted holds tokens by workspace and step of a report interval.
 	granted map[string][]float64
+	// large and small count the requests of the workspace "wide" by size.
+	large, small servedRequests
 }
 
+type servedRequests struct{ requested, granted int }
+
+func (s servedRequests) ratio() float64 { return float64(s.granted) / float64(max(s.requested, 1)) }
+
 type simulatedEngine struct{ busyUntil time.Time }
 
 // simEvent is something that happens at an engine.
@@ -195,6 +201,16 @@
 	c := &call{request: &http.Request{}, service: simService, workspace: s.services[workspace], route: simRoute, headers: headers}
 	c.deadline = s.now.Add(15 * time.Second)
 	a := p.assign(s.now, c)
+	if workspace == "wide" {
+		size := &s.small
+		if headers.PromptTokens > 10_000 {
+			size = &s.large
+		}
+		size.requested++
+		if !a.Refused() {
+			size.granted++
+		}
+	}
 	if a.Refused() {
 		return
 	}
@@ -275,6 +291,33 @@
 	}
 }
 
+// A request that is larger than its router's part of the share must be served as
+// often as others.
+func TestLargeRequestsPassOnManyRouters(t *testing.T) {
+	for seed := range uint64(2) {
+		s := newShareSim(seed, 390, 600*time.Millisecond, 0)
+		s.run(backloggedLoads(390, 0), 20*time.Second)
+		t.Logf("seed %d: large %+v, small %+v", seed, s.large, s.small)
+		assert.GreaterOrEqual(t, s.large.ratio(), 0.5*s.small.ratio(), "seed %d", seed)
+	}
+}
+
+// Routers that join begin without reports and must not grant a second share.
+func TestShareWhileRoutersJoin(t *testing.T) {
+	for seed := range uint64(2) {
+		s := newShareSim(seed, 36, 600*time.Millisecond, 0)
+		s.run(backloggedLoads(36, 0), 10*time.Second)
+		for range 36 {
+			s.addRouter()
+		}
+		s.run(backloggedLoads(72, 0), 10*time.Second)
+		ratio, used := s.serviceRatio("wide", "few", "narrow"), s.used()
+		t.Logf("seed %d: largest ratio %.2f, used %.3f of the capacity", seed, ratio, used)
+		assert.LessOrEqual(t, ratio, maxServiceRatio, "seed %d", seed)
+		assert.GreaterOrEqual(t, used, 0.85, "seed %d", seed)
+	}
+}
+
 // backloggedLoads returns three workspaces that request more than their shares,
 // from all, eight and one of the routers, and ten that request little.
 func backloggedLoads(routers int, skew float64) []shareLoad {
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -43,8 +43,10 @@
 	// prompts would never be admitted.
 	MaxWait, SpareWait float64
 	// Taper is the last fraction of a share, over which the limit falls from MaxWait
-	// to SpareWait.
-	Taper float64
+	// towards SpareWait. It falls no further from the usage MaxTaperUsage on: a
+	// workspace that has used its share still waits like others for what it gets
+	// within its rate.
+	Taper, MaxTaperUsage float64
 	// SpareSlots is the fraction of an engine's slots up to which it takes requests
 	// beyond their workspace's share.
 	SpareSlots float64
@@ -66,7 +68,7 @@
 // DefaultEnginePolicy returns the policy that routers use.
 func DefaultEnginePolicy() EnginePolicy {
 	return EnginePolicy{
-		MaxWait: 0.5, SpareWait: 0.02, Taper: 0.5, SpareSlots: 0.2, RereadPenalty: 8, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
+		MaxWait: 0.5, SpareWait: 0.02, Taper: 0.5, MaxTaperUsage: 0.7, SpareSlots: 0.2, RereadPenalty: 8, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
 		MaxGap: 0.9, MaxSlots: 1, MaxMemory: 0.9,
 	}
 }
@@ -81,11 +83,11 @@
 	// TargetLatency and TargetGap are those of the request's route.
 	TargetLatency time.Duration
 	TargetGap     time.Duration
-	// Usage is what the workspace has been granted, as a multiple of its share; 1 or
-	// more is beyond the share.
+	// Usage is what the workspace has been granted, as a multiple of its share.
 	Usage float64
-	// MayExceed allows a request beyond the share to use left-over capacity.
-	MayExceed bool
+	// BeyondShare marks a request beyond its workspace's share. MayExceed allows it
+	// to use left-over capacity.
+	BeyondShare, MayExceed bool
 	// Exclude lists the engines that the request has already been sent to.
 	Exclude []string
 }
@@ -144,7 +146,7 @@
 // Place chooses the engine with the lowest cost among those that admit the request,
 // or refuses it.
 func (p *EnginePool) Place(now time.Time, r EngineRequest) Decision {
-	if r.Usage >= 1 && !r.MayExceed {
+	if r.BeyondShare && !r.MayExceed {
 		return Decision{Reason: OverShare, RetryAfter: Jitter(MinRetryAfter, p.rng.Float64())}
 	}
 	hashes := prefixHashes(r.Parts)
@@ -187,18 +189,21 @@
 	if c.queueWait+c.reread > maxWait || !p.hasCapacity(now, c.engine, r) {
 		return false
 	}
-	if r.Usage < 1 {
+	if !r.BeyondShare {
 		return true
 	}
 	requests := c.engine.totalLoad().Requests
 	return c.reread == 0 && float64(requests) < p.policy.SpareSlots*float64(p.engine.Slots)
 }
 
-// maxWait returns the longest acceptable wait in ms. It shrinks towards the end of
-// the workspace's share, so that workspaces that were granted least go first.
+// maxWait returns the longest acceptable wait in ms. Within the share it shrinks
+// towards the end of it, so that workspaces that were granted least go first.
 func (p *EnginePool) maxWait(r EngineRequest) float64 {
 	target := milliseconds(r.TargetLatency)
-	left := min(max(1-r.Usage, 0)/p.policy.Taper, 1)
+	if r.BeyondShare {
+		return target * p.policy.SpareWait
+	}
+	left := min((1-min(r.Usage, p.policy.MaxTaperUsage))/p.policy.Taper, 1)
 	return target * (p.policy.SpareWait + left*(p.policy.MaxWait-p.policy.SpareWait))
 }
 
@@ -206,7 +211,7 @@
 // over maxWait, in ms.
 func (p *EnginePool) refuse(r EngineRequest, shortest *candidate, maxWait float64) Decision {
 	reason := Overloaded
-	if r.Usage >= 1 {
+	if r.BeyondShare {
 		reason = OverShare
 	}
 	excess := max(shortest.queueWait-maxWait, 0)
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -261,7 +261,7 @@
 func TestBeyondShareOnlyOnIdleEngines(t *testing.T) {
 	s := newSimulation(1)
 	r, _ := s.randomRequest()
-	r.Usage = 1.5
+	r.Usage, r.BeyondShare = 1.5, true
 	assert.False(t, s.routers[0].Place(s.now, r).Refused(), "idle engines")
 	r.MayExceed = false
 	assert.Equal(t, OverShare, s.routers[0].Place(s.now, r).Reason, "left-over capacity goes to workspaces with a lower usage")
@@ -274,7 +274,7 @@
 	d := s.routers[0].Place(s.now, r)
 	assert.Equal(t, OverShare, d.Reason)
 	assert.Positive(t, d.RetryAfter)
-	r.Usage = 0.3
+	r.Usage, r.BeyondShare = 0.3, false
 	assert.False(t, s.routers[0].Place(s.now, r).Refused(), "within the share")
 }
 
@@ -318,3 +318,21 @@
 	r, _ := s.randomRequest()
 	assert.False(t, router.Place(s.now, r).Refused())
 }
+
+// Within the share, a workspace that was granted most still gets engines whose
+// queues are short, and one that was granted little gets those with longer ones.
+func TestWaitLimitFallsWithUsage(t *testing.T) {
+	s := newSimulation(1)
+	pool := s.routers[0]
+	r, _ := s.randomRequest()
+	limit := func(usage float64, beyond bool) float64 {
+		r.Usage, r.BeyondShare = usage, beyond
+		return pool.maxWait(r) / milliseconds(r.TargetLatency)
+	}
+	assert.InDelta(t, 0.5, limit(0, false), 0.001)
+	assert.InDelta(t, 0.5, limit(0.5, false), 0.001)
+	assert.InDelta(t, 0.404, limit(0.6, false), 0.001)
+	assert.InDelta(t, 0.308, limit(0.7, false), 0.001)
+	assert.InDelta(t, 0.308, limit(2, false), 0.001)
+	assert.InDelta(t, 0.02, limit(0.2, true), 0.001)
+}
