gateway, overload: take in connections only as fast as requests are decided

Cause: the router took in every connection at once. Reading a request is most of what a refusal costs, so refusals filled the processor, and nothing of the workspace began for three seconds. Requests waited in a queue of thousands of connections in the operating system, first in first out, so that most callers had left when theirs were read. Kept connections took all 4,100 descriptors: "socket: too many open files" when connecting to engines, "accept4: too many open files" on the addresses for readiness and lookup. Class of fault: a queue without a bound before the place where requests are refused.

Ruled out: the share (usage at grant 0.23), the engines (49 of 4,775 overloaded).

Change: at most 16 connections whose first requests are not decided about are taken in (overload.Intake, pure); 128 wait in the operating system's queue; beyond that callers cannot connect, which costs this process nothing. Connections that send nothing give their place back after 100 ms. While the processor wait is long, and while callers hold over half of the descriptors, connections are closed after each response, because kept ones pass by the bound. It now sends keep-alive probes, as net.FileListener cannot turn them off.

Tests: TestFloodOfConnectionsLeavesTimeToServe plays 1,400 and 5,600 connections a second. Without the bound 0 to 2 requests are served in 10 s, with it 1,305.

--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -38,7 +38,7 @@
 	config.Update(platform.Config{Table: table}, 1, versioned.Store, now)
 	h := &Handler{
 		config: config, pools: p, logger: log.New(io.Discard), admitLine: func() bool { return false }, metrics: newRequestMetrics(),
-		stopState: func() shutdown.State { return shutdown.Serving }, requestArrived: func() {}, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
+		stopState: func() shutdown.State { return shutdown.Serving }, requestArrived: func() {}, manyConnections: func() bool { return false }, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
 	}
 	body := strings.Repeat("x", 12000)
 	for b.Loop() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -110,7 +110,7 @@
 	g.handler = &Handler{
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: newRequestMetrics(),
 		stopState: g.state, requestArrived: g.requestArrived,
-		routers: func() int { return len(g.exchange.ready()) }, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
+		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
 	}
 	g.addGauges()
 	return g, g.listen(options)
@@ -119,6 +119,7 @@
 func (g *Gateway) addGauges() {
 	m := g.handler.metrics
 	m.gauge("lacewing_requests_in_progress", func() float64 { return float64(g.handler.inProgress.Load()) })
+	m.gauge("lacewing_caller_connections", func() float64 { return float64(g.openConnections.Load()) })
 	m.gauge("lacewing_config_version", func() float64 { return float64(g.config.Get().Version) })
 	m.gauge("lacewing_store_calls", func() float64 { return float64(g.store.Calls()) })
 	m.gauge("lacewing_store_age_seconds", func() float64 { return g.exchange.storeAge(time.Now()).Seconds() })
@@ -149,16 +150,11 @@
 	return nil
 }
 
-// callerListenConfig disables keep-alive probes, which cost four system calls per
-// connection. They are not needed: idle connections are closed after idleTimeout
-// and requests end at their deadlines.
-var callerListenConfig = net.ListenConfig{KeepAlive: -1}
-
 func (g *Gateway) listen(options Options) error {
 	g.callerServer = newServer(g.handler)
 	g.callerServer.ConnState = g.countConnection
 	g.callerServer.ConnContext = withConnection
-	if err := g.serveOn(callerListenConfig, g.settings.CallerAddress, g.callerServer); err != nil {
+	if err := g.serveCallers(); err != nil {
 		return err
 	}
 	ready := platform.ReadyHandler(g.ready)
@@ -177,7 +173,7 @@
 		if server.address == "" {
 			continue
 		}
-		if err := g.serveOn(net.ListenConfig{}, server.address, newServer(server.handler)); err != nil {
+		if err := g.serveOn(server.address, newServer(server.handler)); err != nil {
 			return err
 		}
 	}
@@ -192,18 +188,41 @@
 
 // serveOn listens and serves in the background until the server or the listener
 // closes. Errors: ErrListen.
-func (g *Gateway) serveOn(config net.ListenConfig, address string, server *http.Server) error {
-	listener, err := config.Listen(context.Background(), "tcp", address)
+func (g *Gateway) serveOn(address string, server *http.Server) error {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrapf(ErrListen, "%s: %v", address, err)
 	}
+	g.serve(listener, server)
+	return nil
+}
+
+// serveCallers listens on the address for callers and serves it in the background.
+// Errors: ErrListen.
+func (g *Gateway) serveCallers() error {
+	listener, err := listenIntake(g.settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	g.serve(listener, g.callerServer)
+	return nil
+}
+
+// serve serves on a listener in the background until the server or the listener
+// closes.
+func (g *Gateway) serve(listener net.Listener, server *http.Server) {
 	g.listeners = append(g.listeners, listener)
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			g.logger.Error("listener failed", "address", listener.Addr(), "err", err)
 		}
 	}()
-	return nil
+}
+
+// manyConnections reports whether callers hold a large part of the descriptors.
+func (g *Gateway) manyConnections() bool {
+	limit := openConnectionsRatio * float64(g.settings.FileLimit)
+	return limit > 0 && float64(g.openConnections.Load()) > limit
 }
 
 func (g *Gateway) countConnection(_ net.Conn, state http.ConnState) {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -51,6 +51,9 @@
 	requestArrived func()
 	// routers returns the number of ready routers.
 	routers func() int
+	// manyConnections reports whether callers hold so many connections that they
+	// are closed after each response.
+	manyConnections func() bool
 
 	inProgress          atomic.Int64
 	mu                  sync.Mutex // guards the fields below
@@ -62,11 +65,12 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
+	defer decided(r)
 	h.requestArrived()
 	c := &call{request: r, received: time.Now(), processorWait: overload.ProcessorWait()}
 	h.metrics.processorWait.Update(c.processorWait.Seconds())
 	state := h.stopState()
-	if state != shutdown.Serving {
+	if state != shutdown.Serving || c.processorWait >= overload.BusyWait || h.manyConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	if !h.resolve(w, c) {
@@ -77,7 +81,9 @@
 		return
 	}
 	h.abortIfCallerLeft(c)
-	if !h.admitted(c) {
+	admitted := h.admitted(c)
+	decided(r)
+	if !admitted {
 		h.pools.countRefused(c.received, c)
 		retryAfter := placement.Jitter(placement.MinRetryAfter, rand.Float64())
 		h.refuse(w, c, retryAfter, "router is short of processor time", "processor_wait", c.processorWait)
