entry: the limit of retained answers removes only what it counted

An answer beyond the limit was removed by its key, although its retention could be over and a newer request with the same id be in progress; that request was then unknown to readers that continue it. The list now holds the completions. TestRetentionLimitKeepsNewerRequest fails before the change.

--- a/entry/tracker.go
+++ b/entry/tracker.go
@@ -102,11 +102,11 @@
 // requestTracker counts the requests in progress and holds the completions by
 // their fleet-wide keys. It is safe for concurrent use.
 type requestTracker struct {
-	mu           sync.Mutex
-	byKey        map[string]*trackedCompletion
-	retainedKeys []string      // keys of complete answers, oldest first, also of removed ones
-	active       int           // number of requests in progress
-	idle         chan struct{} // closed and replaced when active becomes zero
+	mu       sync.Mutex
+	byKey    map[string]*trackedCompletion
+	retained []*trackedCompletion // complete answers, oldest first, also removed ones
+	active   int                  // number of requests in progress
+	idle     chan struct{}        // closed and replaced when active becomes zero
 }
 
 func newRequestTracker() *requestTracker {
@@ -181,10 +181,11 @@
 		return
 	}
 	t.mu.Lock()
-	t.retainedKeys = append(t.retainedKeys, tc.key)
-	for len(t.retainedKeys) > maxRetainedAnswers {
-		delete(t.byKey, t.retainedKeys[0])
-		t.retainedKeys = t.retainedKeys[1:]
+	t.retained = append(t.retained, tc)
+	for len(t.retained) > maxRetainedAnswers {
+		t.removeLocked(t.retained[0])
+		t.retained[0] = nil
+		t.retained = t.retained[1:]
 	}
 	t.mu.Unlock()
 	time.AfterFunc(answerRetention, func() { t.remove(tc) })
@@ -193,6 +194,10 @@
 func (t *requestTracker) remove(tc *trackedCompletion) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.removeLocked(tc)
+}
+
+func (t *requestTracker) removeLocked(tc *trackedCompletion) {
 	if t.byKey[tc.key] == tc {
 		delete(t.byKey, tc.key)
 	}
