fairshare: usage includes what others have granted since their reports

A request is now within the share also while usage is below 1, where usage includes an estimate of the grants that are not reported yet: as much, in proportion to the requests, as this router has granted within the age of the reports. When all routers start to grant, each one sees it from its own grants. The bucket still lets a router grant its part whatever the estimate says, and the limit on waits is as it was before the buckets.

--- a/fairshare/bucket.go
+++ b/fairshare/bucket.go
@@ -20,8 +20,7 @@
 // within its share and beyond it, so that all routers together grant the share and
 // the spare capacity within the window. Each router gets the part of both that it
 // has of the workspace's requested tokens, own of total. Late or lost reports change
-// these parts little; routers that compared the sum of their grants with the share
-// would all grant at once whenever the sum is low.
+// these parts little.
 //
 // Both rates are corrected in proportion to what the workspace was granted. The
 // gain is low enough for reports that are late by a good part of the window.
@@ -36,6 +35,16 @@
 	return share, spare
 }
 
+// Unreported estimates what the other routers have granted to a workspace since
+// their reports: as much in proportion to the requests as this router has, which
+// granted recent tokens meanwhile.
+func Unreported(recent float64, own, others Tokens) float64 {
+	if own.Requested <= 0 {
+		return 0
+	}
+	return recent * others.Requested / own.Requested
+}
+
 // Backlogged reports whether a workspace requests more than its share.
 func (s Shares) Backlogged(total Tokens) bool {
 	return s.MaxMinShare > 0 && total.Requested > s.MaxMinShare
--- a/fairshare/bucket_test.go
+++ b/fairshare/bucket_test.go
@@ -95,3 +95,19 @@
 	assert.Len(t, b.byWorkspace, 1)
 	assert.Contains(t, b.byWorkspace, "used")
 }
+
+// The estimate of unreported grants must cover the age of the reports and follow
+// the parts of the requests.
+func TestUnreportedGrants(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := NewMeter(4*time.Second, start)
+	m.AddGranted(start, "w", 100)
+	now := start.Add(2 * time.Second)
+	m.AddGranted(now, "w", 10)
+	now = now.Add(200 * time.Millisecond)
+	assert.InDelta(t, 10, m.RecentlyGranted(now, "w", 300*time.Millisecond), 0.01)
+	assert.InDelta(t, 110, m.RecentlyGranted(now, "w", 3*time.Second), 0.01)
+	assert.Zero(t, m.RecentlyGranted(now, "other", time.Second))
+	assert.InDelta(t, 30, Unreported(10, Tokens{Requested: 5}, Tokens{Requested: 15}), 0.01)
+	assert.Zero(t, Unreported(10, Tokens{}, Tokens{Requested: 15}), "no requests of its own")
+}
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -92,6 +92,23 @@
 	return Tokens{}
 }
 
+// RecentlyGranted returns the tokens that one workspace was granted within the last
+// age, rounded up to whole buckets.
+func (m *Meter) RecentlyGranted(now time.Time, workspace string, age time.Duration) float64 {
+	m.advance(now)
+	r := m.rings[workspace]
+	if r == nil {
+		return 0
+	}
+	bucketLength := m.window / buckets
+	count := min(int64((age+bucketLength-1)/bucketLength)+1, buckets, m.newest+1)
+	sum := 0.0
+	for step := range count {
+		sum += r.buckets[(m.newest-step)%buckets].Granted
+	}
+	return sum
+}
+
 // Sums returns the tokens within the window by workspace, without workspaces that
 // have none.
 func (m *Meter) Sums(now time.Time) map[string]Tokens {
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -22,20 +22,21 @@
 
 // shareUse is what a workspace has used of its share, as seen by one router.
 type shareUse struct {
-	within    bool          // the request is within this router's part of the share
-	mayExceed bool          // the request may use spare capacity
-	usage     float64       // as a multiple of the share, counting half of the cost of the next request
-	own       float64       // tokens granted by this router within the window
-	others    float64       // tokens granted by the other routers, as last reported
-	share     float64       // tokens that the workspace may be granted within the window
-	reportAge time.Duration // mean age of the reports that others is the sum of
+	within     bool          // the request is within the share
+	mayExceed  bool          // the request may use spare capacity
+	usage      float64       // as a multiple of the share, counting half of the cost of the next request
+	own        float64       // tokens granted by this router within the window
+	others     float64       // tokens granted by the other routers, as last reported
+	unreported float64       // estimate of what they have granted since
+	share      float64       // tokens that the workspace may be granted within the window
+	reportAge  time.Duration // mean age of the reports that others is the sum of
 }
 
 // logFields returns the fields of a log line.
 func (s shareUse) logFields() []any {
 	return []any{
 		"within", s.within, "usage", math.Round(100*s.usage) / 100, "own", math.Round(s.own), "others", math.Round(s.others),
-		"share", math.Round(s.share), "report_age", s.reportAge.Round(time.Millisecond),
+		"unreported", math.Round(s.unreported), "share", math.Round(s.share), "report_age", s.reportAge.Round(time.Millisecond),
 	}
 }
 
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -11,6 +11,10 @@
 	"github.com/lacewingshift/lacewingshift/placement"
 )
 
+// maxUnreportedAge bounds the time for which the grants of other routers are
+// estimated. Reports that are much older no longer count.
+const maxUnreportedAge = time.Second
+
 // pools holds the state of placement, retry budgets and fair sharing for all
 // services. One lock suffices, as a decision takes microseconds. It is safe for
 // concurrent use.
@@ -146,12 +150,14 @@
 	shareRate, spareRate := p.shares.Rates(own, total, p.shareWindow)
 	hasShare := p.shareBuckets.Fill(now, workspace, shareRate)
 	hasSpare := p.spareBuckets.Fill(now, workspace, spareRate)
-	usage := p.shares.Usage(total.Granted, cost)
+	reportAge := p.remoteAge + now.Sub(p.remoteAt)
+	unreported := fairshare.Unreported(p.meter.RecentlyGranted(now, workspace, min(reportAge, maxUnreportedAge)), own, others)
+	usage := p.shares.Usage(total.Granted+unreported, cost)
 	return shareUse{
-		own: own.Granted, others: others.Granted, share: p.shares.MaxMinShare, usage: usage,
-		within:    hasShare || !p.shares.Backlogged(total),
+		own: own.Granted, others: others.Granted, unreported: unreported, share: p.shares.MaxMinShare, usage: usage,
+		within:    usage < 1 || hasShare || !p.shares.Backlogged(total),
 		mayExceed: hasSpare && p.shares.MayExceed(usage),
-		reportAge: p.remoteAge + now.Sub(p.remoteAt),
+		reportAge: reportAge,
 	}
 }
 
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -43,10 +43,8 @@
 	// prompts would never be admitted.
 	MaxWait, SpareWait float64
 	// Taper is the last fraction of a share, over which the limit falls from MaxWait
-	// towards SpareWait. It falls no further from the usage MaxTaperUsage on: a
-	// workspace that has used its share still waits like others for what it gets
-	// within its rate.
-	Taper, MaxTaperUsage float64
+	// to SpareWait.
+	Taper float64
 	// SpareSlots is the fraction of an engine's slots up to which it takes requests
 	// beyond their workspace's share.
 	SpareSlots float64
@@ -68,7 +66,7 @@
 // DefaultEnginePolicy returns the policy that routers use.
 func DefaultEnginePolicy() EnginePolicy {
 	return EnginePolicy{
-		MaxWait: 0.5, SpareWait: 0.02, Taper: 0.5, MaxTaperUsage: 0.7, SpareSlots: 0.2, RereadPenalty: 8, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
+		MaxWait: 0.5, SpareWait: 0.02, Taper: 0.5, SpareSlots: 0.2, RereadPenalty: 8, OtherRegion: 10 * time.Millisecond, OtherDataCentre: 2 * time.Millisecond,
 		MaxGap: 0.9, MaxSlots: 1, MaxMemory: 0.9,
 	}
 }
@@ -196,14 +194,11 @@
 	return c.reread == 0 && float64(requests) < p.policy.SpareSlots*float64(p.engine.Slots)
 }
 
-// maxWait returns the longest acceptable wait in ms. Within the share it shrinks
-// towards the end of it, so that workspaces that were granted least go first.
+// maxWait returns the longest acceptable wait in ms. It shrinks towards the end of
+// the workspace's share, so that workspaces that were granted least go first.
 func (p *EnginePool) maxWait(r EngineRequest) float64 {
 	target := milliseconds(r.TargetLatency)
-	if r.BeyondShare {
-		return target * p.policy.SpareWait
-	}
-	left := min((1-min(r.Usage, p.policy.MaxTaperUsage))/p.policy.Taper, 1)
+	left := min(max(1-r.Usage, 0)/p.policy.Taper, 1)
 	return target * (p.policy.SpareWait + left*(p.policy.MaxWait-p.policy.SpareWait))
 }
 
