gateway: seed the jitter of plain services per router

All routers seeded it with 0, so that those with the same reports chose the same upstream of a plain service for the same sequence of requests. The pools of a router now share one seed from its start time. TestPlainJitterDiffersBetweenRouters fails before the change.

--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -25,7 +25,7 @@
 	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 8, MemoryTokens: 1 << 20}}
 	table := catalog.NewTable(1, nil, []*catalog.Service{service}, nil, catalog.Limits{TokensPerSecond: 1000}, false)
 	upstreams := []catalog.Upstream{{ID: "e-1", DataCentre: "a"}, {ID: "e-2", DataCentre: "a"}}
-	p.configure(table, func(string) []catalog.Upstream { return upstreams }, now)
+	p.configure(table, func(string) []catalog.Upstream { return upstreams })
 	// The workspace was granted three times its share and another one has unmet
 	// demand.
 	p.setRemote(now, &fleet.Totals{WorkspaceTokens: map[string]fairshare.Tokens{
@@ -56,7 +56,7 @@
 	p := newPools(placement.Location{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, 4*time.Second, now)
 	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 8, MemoryTokens: 1 << 20}}
 	table := catalog.NewTable(1, nil, []*catalog.Service{service}, nil, catalog.Limits{TokensPerSecond: 1000}, false)
-	p.configure(table, func(string) []catalog.Upstream { return nil }, now)
+	p.configure(table, func(string) []catalog.Upstream { return nil })
 	c := &call{
 		request: &http.Request{}, service: service, workspace: &catalog.Workspace{Name: "refused"},
 		headers: platform.CallerRequest{PromptTokens: 9000},
@@ -71,3 +71,25 @@
 	assert.Greater(t, usage, 1.0, "it was granted more than half")
 	assert.False(t, p.shares.MayExceed(usage))
 }
+
+// Routers must not share the jitter of plain services; with the same reports they
+// would all choose the same upstream.
+func TestPlainJitterDiffersBetweenRouters(t *testing.T) {
+	start := time.Unix(1000, 0)
+	service := &catalog.Service{Name: "s"}
+	table := catalog.NewTable(1, nil, []*catalog.Service{service}, nil, catalog.Limits{}, false)
+	var upstreams []catalog.Upstream
+	for _, id := range []string{"p-1", "p-2", "p-3", "p-4"} {
+		upstreams = append(upstreams, catalog.Upstream{ID: id, DataCentre: "a", Slots: 6})
+	}
+	var chosen [2][]string
+	for router := range chosen {
+		p := newPools(placement.Location{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, 4*time.Second, start.Add(time.Duration(router)))
+		p.configure(table, func(string) []catalog.Upstream { return upstreams })
+		for range 40 {
+			c := &call{request: &http.Request{}, service: service, route: &catalog.Route{}, deadline: start.Add(time.Second)}
+			chosen[router] = append(chosen[router], p.assign(start, c).Upstream.ID)
+		}
+	}
+	assert.NotEqual(t, chosen[0], chosen[1])
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -308,7 +308,7 @@
 		configChanged, upstreamsChanged := g.config.Changed(), g.upstreams.Changed()
 		config, upstreams := g.config.Get(), g.upstreams.Get()
 		if config.Version > 0 && upstreams.Value != nil {
-			g.pools.configure(config.Value.Table, upstreams.Value.Service, time.Now())
+			g.pools.configure(config.Value.Table, upstreams.Value.Service)
 			g.configured.Store(true)
 			if g.state() == shutdown.Serving {
 				g.exchange.setState(fleet.Ready)
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -20,6 +20,7 @@
 // concurrent use.
 type pools struct {
 	mu               sync.Mutex
+	seed             uint64 // of the jitter in all pools; differs between routers
 	location         placement.Location
 	regions          map[string]string                // region by data centre
 	retryLimits      budget.Limits                    // of each service
@@ -42,7 +43,7 @@
 
 func newPools(location placement.Location, regions map[string]string, retryLimits budget.Limits, shareWindow time.Duration, now time.Time) *pools {
 	return &pools{
-		location: location, regions: regions, retryLimits: retryLimits, shareWindow: shareWindow,
+		seed: uint64(now.UnixNano()), location: location, regions: regions, retryLimits: retryLimits, shareWindow: shareWindow,
 		enginePools: map[string]*placement.EnginePool{}, plainPools: map[string]*placement.PlainPool{},
 		retryBudgets: map[string]*budget.Window{}, meter: fairshare.NewMeter(shareWindow, now),
 		shareBuckets: fairshare.NewBuckets(), spareBuckets: fairshare.NewBuckets(),
@@ -50,7 +51,7 @@
 }
 
 // configure applies a configuration and its services' upstreams.
-func (p *pools) configure(table *catalog.Table, upstreams func(service string) []catalog.Upstream, now time.Time) {
+func (p *pools) configure(table *catalog.Table, upstreams func(service string) []catalog.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.capacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
@@ -62,7 +63,7 @@
 		}
 		pool := p.enginePools[service.Name]
 		if pool == nil {
-			pool = placement.NewEnginePool(placement.DefaultEnginePolicy(), p.location, p.regions, uint64(now.UnixNano()))
+			pool = placement.NewEnginePool(placement.DefaultEnginePolicy(), p.location, p.regions, p.seed)
 			p.enginePools[service.Name] = pool
 		}
 		pool.SetUpstreams(list, *service.Engine, table.Limits.TokensPerSecond)
@@ -72,7 +73,7 @@
 func (p *pools) plainPool(service string) *placement.PlainPool {
 	pool := p.plainPools[service]
 	if pool == nil {
-		pool = placement.NewPlainPool(placement.DefaultPlainPolicy(), p.location, p.regions, 0)
+		pool = placement.NewPlainPool(placement.DefaultPlainPolicy(), p.location, p.regions, p.seed)
 		p.plainPools[service] = pool
 	}
 	return pool
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -107,8 +107,8 @@
 		upstreams = append(upstreams, catalog.Upstream{ID: fmt.Sprint("e", i), DataCentre: "a"})
 	}
 	table := catalog.NewTable(1, nil, []*catalog.Service{simService}, nil, catalog.Limits{TokensPerSecond: simCapacity}, false)
-	p := newPools(placement.Location{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, simWindow, s.now)
-	p.configure(table, func(string) []catalog.Upstream { return upstreams }, s.now.Add(time.Duration(len(s.pools))))
+	p := newPools(placement.Location{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, simWindow, s.now.Add(time.Duration(len(s.pools))))
+	p.configure(table, func(string) []catalog.Upstream { return upstreams })
 	s.pools = append(s.pools, p)
 }
 
