--- a/fairshare/bucket.go
+++ b/fairshare/bucket.go
@@ -30,7 +30,7 @@
 	}
 	usage := total.Granted / s.MaxMinShare
 	part := s.MaxMinShare / window.Seconds() * own.Requested / total.Requested
-	share = part * min(max(2-usage, minCorrection), maxCorrection)
+	share = part * min(max(1+(1-usage), minCorrection), maxCorrection)
 	spare = part * min(max(s.LowestUsage+spareSlack-usage, 0), maxSpare)
 	return share, spare
 }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -32,8 +32,12 @@
 	reportAge  time.Duration // mean age of the reports that others is the sum of
 }
 
-// logFields returns the fields of a log line.
-func (s shareUse) logFields() []any {
+// shareFields returns the log fields of the share, nil for plain services.
+func (a *assignment) shareFields() []any {
+	if a.enginePool == nil {
+		return nil
+	}
+	s := a.share
 	return []any{
 		"within", s.within, "usage", math.Round(100*s.usage) / 100, "own", math.Round(s.own), "others", math.Round(s.others),
 		"unreported", math.Round(s.unreported), "share", math.Round(s.share), "report_age", s.reportAge.Round(time.Millisecond),
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -65,7 +65,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.inProgress.Add(1)
 	defer h.inProgress.Add(-1)
-	defer decided(r)
+	defer freeIntakeSlot(r)
 	h.requestArrived()
 	c := &call{request: r, received: time.Now(), processorWait: overload.ProcessorWait()}
 	h.metrics.processorWait.Update(c.processorWait.Seconds())
@@ -82,7 +82,7 @@
 	}
 	h.abortIfCallerLeft(c)
 	admitted := h.admitted(c)
-	decided(r)
+	freeIntakeSlot(r)
 	if !admitted {
 		h.pools.countRefused(c.received, c)
 		retryAfter := placement.Jitter(placement.MinRetryAfter, rand.Float64())
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -28,9 +28,9 @@
 // intakeListener accepts connections as overload.Intake allows.
 type intakeListener struct {
 	net.Listener
-	mu      sync.Mutex // guards intake
-	intake  overload.Intake
-	decided chan struct{} // receives a value after a slot was freed
+	mu     sync.Mutex // guards intake
+	intake overload.Intake
+	freed  chan struct{} // receives a value after a slot was freed
 }
 
 // listenIntake listens on a TCP address. Errors: ErrListen.
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, eris.Wrapf(ErrListen, "%s: %v", address, err)
 	}
-	return &intakeListener{Listener: listener, decided: make(chan struct{}, 1)}, nil
+	return &intakeListener{Listener: listener, freed: make(chan struct{}, 1)}, nil
 }
 
 // listenTCP listens with a queue of the given length, which package net does not
@@ -100,7 +100,7 @@
 		}
 		timer := time.NewTimer(wait)
 		select {
-		case <-l.decided:
+		case <-l.freed:
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -115,30 +115,30 @@
 	slot     *overload.Slot // nil once it was freed; guarded by the listener's mutex
 }
 
-// decide frees the slot of the connection, if it still holds one.
-func (c *callerConnection) decide() {
+// freeSlot frees the slot of the connection, if it still holds one.
+func (c *callerConnection) freeSlot() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	if c.slot == nil {
 		return
 	}
-	c.slot.Decide()
+	c.slot.Free()
 	c.slot = nil
 	select {
-	case c.listener.decided <- struct{}{}:
+	case c.listener.freed <- struct{}{}:
 	default:
 	}
 }
 
 // Close implements net.Conn.
 func (c *callerConnection) Close() error {
-	c.decide()
+	c.freeSlot()
 	return c.TCPConn.Close()
 }
 
-// decided frees the slot of a request's connection.
-func decided(r *http.Request) {
+// freeIntakeSlot frees the slot of a request's connection, if it still holds one.
+func freeIntakeSlot(r *http.Request) {
 	if c, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok {
-		c.decide()
+		c.freeSlot()
 	}
 }
--- a/gateway/intake_test.go
+++ b/gateway/intake_test.go
@@ -16,7 +16,7 @@
 func TestSilentCallersDoNotBlockOthers(t *testing.T) {
 	listener, err := listenIntake("127.0.0.1:0")
 	require.NoError(t, err)
-	server := &http.Server{ConnContext: withConnection, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { decided(r) })}
+	server := &http.Server{ConnContext: withConnection, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { freeIntakeSlot(r) })}
 	go func() { _ = server.Serve(listener) }()
 	defer server.Close()
 	for range 64 {
@@ -39,7 +39,7 @@
 	var inProgress atomic.Int64
 	finish := make(chan struct{})
 	server := &http.Server{ConnContext: withConnection, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-		decided(r)
+		freeIntakeSlot(r)
 		inProgress.Add(1)
 		<-finish
 	})}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -78,7 +78,7 @@
 		a := h.pools.assign(now, c)
 		h.metrics.assigned(&a)
 		if a.Refused() {
-			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, append([]any{"wait", a.Wait}, a.share.logFields()...)...)
+			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, append([]any{"wait", a.Wait}, a.shareFields()...)...)
 			return
 		}
 		if c.attempts == 0 {
@@ -94,7 +94,7 @@
 		}
 		if r.attemptStatus == answered {
 			h.log(c, "request ended", append([]any{"reason", r.reason, "wait", a.Wait, "first", c.firstByte,
-				"read", a.ReadTokens, "rank", a.Rank, "events", out.events, "pause", out.eventGap}, a.share.logFields()...)...)
+				"read", a.ReadTokens, "rank", a.Rank, "events", out.events, "pause", out.eventGap}, a.shareFields()...)...)
 			return
 		}
 		c.mayHaveRun = c.mayHaveRun || r.attemptStatus == maybeRan
--- a/overload/intake.go
+++ b/overload/intake.go
@@ -24,18 +24,19 @@
 // Slot is the place of one connection.
 type Slot struct {
 	takenAt time.Time
-	decided bool
+	freed   bool
 }
 
-// Decide frees the slot, because the first request was decided about or the
+// Free frees the slot, because the first request was decided about or the
 // connection has ended.
-func (s *Slot) Decide() { s.decided = true }
+func (s *Slot) Free() { s.freed = true }
 
-// Undecided returns the number of slots that are held.
+// Undecided forgets the slots that were freed or held too long, and returns the
+// number of the others.
 func (i *Intake) Undecided(now time.Time) int {
 	kept := i.undecided[:0]
 	for _, s := range i.undecided {
-		if !s.decided && now.Sub(s.takenAt) < maxHold {
+		if !s.freed && now.Sub(s.takenAt) < maxHold {
 			kept = append(kept, s)
 		}
 	}
--- a/overload/intake_test.go
+++ b/overload/intake_test.go
@@ -73,7 +73,7 @@
 			now += f.decideTime
 			admitted := gate.Admit(start.Add(now), "w", wait)
 			if r.slot != nil {
-				r.slot.Decide()
+				r.slot.Free()
 			}
 			switch {
 			case now-r.arrivedAt > f.callerTimeout:
@@ -135,7 +135,7 @@
 	assert.Equal(t, maxHold-40*time.Millisecond, wait)
 	slot, _ = intake.Take(now.Add(maxHold))
 	assert.NotNil(t, slot)
-	slot.Decide()
+	slot.Free()
 	slot, _ = intake.Take(now.Add(maxHold))
 	assert.NotNil(t, slot)
 }
