--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -95,13 +95,14 @@
 		n, err := response.Body.Read(chunk)
 		if n > 0 {
 			watchdog.reset()
+			unseen := max(len(pending)-len(eventEnd)+1, 0)
 			pending = append(pending, chunk[:n]...)
-			end := bytes.LastIndex(pending, eventEnd)
-			if end >= 0 {
-				if err := h.forward(out, c, a, response, pending[:end+len(eventEnd)]); err != nil {
+			if i := bytes.LastIndex(pending[unseen:], eventEnd); i >= 0 {
+				end := unseen + i + len(eventEnd)
+				if err := h.forward(out, c, a, response, pending[:end]); err != nil {
 					return result{answered, placement.Abandoned, "caller left"}
 				}
-				pending = append(pending[:0], pending[end+len(eventEnd):]...)
+				pending = append(pending[:0], pending[end:]...)
 			}
 		}
 		if errors.Is(err, io.EOF) {
