fleet, gateway: the share simulation uses the sums of package fleet

Reading the change again found two pieces that the project already had. The simulation in gateway/share_test.go added and subtracted reports with code of its own; it now uses fleet.Totals, whose constructor and two methods are exported for it, so that the test covers the sums that relays build, with their ages. Shares.Rates computed the usage that Shares.Usage returns.

No behaviour changes.

--- a/fairshare/bucket.go
+++ b/fairshare/bucket.go
@@ -28,7 +28,7 @@
 	if s.MaxMinShare <= 0 || total.Requested <= 0 {
 		return 0, 0
 	}
-	usage := total.Granted / s.MaxMinShare
+	usage := s.Usage(total.Granted, 0)
 	part := s.MaxMinShare / window.Seconds() * own.Requested / total.Requested
 	share = part * min(max(1+(1-usage), minCorrection), maxCorrection)
 	spare = part * min(max(s.LowestUsage+spareSlack-usage, 0), maxSpare)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -166,20 +166,20 @@
 // digestMessages returns the sums of this data centre for the relays of the others,
 // and for each member of this data centre the sums over all other routers.
 func (t *Table) digestMessages(now time.Time, own *Report) []Message {
-	localTotals := newTotals()
-	localTotals.addReport(own, 0, 1)
+	localTotals := NewTotals()
+	localTotals.AddReport(own, 0, 1)
 	var members []*member
 	for _, m := range t.members {
 		if m.report != nil && now.Sub(m.reportedAt) < LiveTimeout && m.record.DataCentre == t.self.DataCentre {
-			localTotals.addReport(m.report, now.Sub(m.reportedAt), 1)
+			localTotals.AddReport(m.report, now.Sub(m.reportedAt), 1)
 			members = append(members, m)
 		}
 	}
 	t.digestCount++
 	withMembers := t.digestCount%membersInterval == 0
 	digest := &Digest{DataCentre: t.self.DataCentre, Totals: localTotals}
-	fleetTotals := newTotals()
-	fleetTotals.add(localTotals)
+	fleetTotals := NewTotals()
+	fleetTotals.Add(localTotals)
 	t.addRemoteDigests(now, fleetTotals)
 	var liveRouters []LastSeen
 	if withMembers {
@@ -195,9 +195,9 @@
 	withoutLoads.Loads, withoutLoads.WorkspaceTokens, withoutLoads.Retries = nil, nil, nil
 	messages := []Message{{To: t.remoteRelays(now), Envelope: Envelope{Report: &withoutLoads, Digest: digest}}}
 	for _, m := range members {
-		totals := newTotals()
-		totals.add(fleetTotals)
-		totals.addReport(m.report, now.Sub(m.reportedAt), -1)
+		totals := NewTotals()
+		totals.Add(fleetTotals)
+		totals.AddReport(m.report, now.Sub(m.reportedAt), -1)
 		messages = append(messages, Message{
 			To:       []string{m.record.Host},
 			Envelope: Envelope{Report: own, Digest: &Digest{Totals: totals, Members: liveRouters}},
@@ -260,12 +260,12 @@
 	if r, ok := t.digests[""]; ok && now.Sub(r.receivedAt) < LiveTimeout && usesRelays {
 		return r.digest.Totals.aged(now.Sub(r.receivedAt))
 	}
-	totals := newTotals()
+	totals := NewTotals()
 	for _, m := range t.members {
 		// Reports of relays in other data centres are included in their digests.
 		included := !usesRelays || m.record.DataCentre == t.self.DataCentre
 		if included && m.report != nil && now.Sub(m.reportedAt) < LiveTimeout {
-			totals.addReport(m.report, now.Sub(m.reportedAt), 1)
+			totals.AddReport(m.report, now.Sub(m.reportedAt), 1)
 		}
 	}
 	if usesRelays {
@@ -278,7 +278,7 @@
 func (t *Table) addRemoteDigests(now time.Time, totals *Totals) {
 	for dataCentre, r := range t.digests {
 		if dataCentre != "" && dataCentre != t.self.DataCentre && now.Sub(r.receivedAt) < LiveTimeout {
-			totals.add(r.digest.Totals.aged(now.Sub(r.receivedAt)))
+			totals.Add(r.digest.Totals.aged(now.Sub(r.receivedAt)))
 		}
 	}
 }
--- a/fleet/totals.go
+++ b/fleet/totals.go
@@ -23,8 +23,8 @@
 	Retries         map[string]budget.Counts    `cbor:"5,keyasint,omitempty"`
 }
 
-// newTotals returns empty totals.
-func newTotals() *Totals {
+// NewTotals returns empty totals.
+func NewTotals() *Totals {
 	return &Totals{
 		Loads: map[string]placement.Load{}, Failing: map[string]int{},
 		WorkspaceTokens: map[string]fairshare.Tokens{}, Retries: map[string]budget.Counts{},
@@ -46,8 +46,8 @@
 	return &older
 }
 
-// addReport adds a report of the given age, or with sign -1 subtracts it.
-func (t *Totals) addReport(r *Report, age time.Duration, sign int) {
+// AddReport adds a report of the given age, or with sign -1 subtracts it.
+func (t *Totals) AddReport(r *Report, age time.Duration, sign int) {
 	t.Routers += sign
 	t.AgeMs += int64(sign) * age.Milliseconds()
 	for _, load := range r.Loads {
@@ -64,8 +64,8 @@
 	}
 }
 
-// add adds other totals.
-func (t *Totals) add(other *Totals) {
+// Add adds other totals.
+func (t *Totals) Add(other *Totals) {
 	t.Routers += other.Routers
 	t.AgeMs += other.AgeMs
 	for upstream, load := range other.Loads {
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"testing"
@@ -13,7 +12,6 @@
 
 	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/catalog"
-	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/fleet"
 	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/platform"
@@ -44,15 +42,15 @@
 // shareSim plays a load over the pools of many routers that exchange reports late,
 // and engines that read prompts one after another.
 type shareSim struct {
-	rng      *rand.Rand
-	now      time.Time
-	pools    []*pools
-	lag      int     // age of the reports that arrive, in report intervals
-	loss     float64 // part of the reports that do not arrive
-	reports  [][]*fleet.Report
-	engines  map[string]*simulatedEngine
-	events   simEvents
-	services map[string]*catalog.Workspace
+	rng        *rand.Rand
+	now        time.Time
+	pools      []*pools
+	lag        int     // age of the reports that arrive, in report intervals
+	loss       float64 // part of the reports that do not arrive
+	reports    [][]*fleet.Report
+	engines    map[string]*simulatedEngine
+	events     simEvents
+	workspaces map[string]*catalog.Workspace
 	// granted holds tokens by workspace and step of a report interval.
 	granted map[string][]float64
 	// large and small count the requests of the workspace "wide" by size.
@@ -90,7 +88,7 @@
 func newShareSim(seed uint64, routers int, reportAge time.Duration, loss float64) *shareSim {
 	s := &shareSim{
 		rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), lag: max(int(reportAge/fleet.ReportInterval), 1), loss: loss,
-		engines: map[string]*simulatedEngine{}, services: map[string]*catalog.Workspace{}, granted: map[string][]float64{},
+		engines: map[string]*simulatedEngine{}, workspaces: map[string]*catalog.Workspace{}, granted: map[string][]float64{},
 	}
 	for i := range simEngines {
 		s.engines[fmt.Sprint("e", i)] = &simulatedEngine{}
@@ -140,17 +138,19 @@
 	}
 	s.reports = append(s.reports, reports)
 	arrived := s.reports[max(len(s.reports)-1-s.lag, 0)]
-	sum := &fleet.Totals{AgeMs: int64(len(arrived)*s.lag) * fleet.ReportInterval.Milliseconds()}
+	age := time.Duration(s.lag) * fleet.ReportInterval
+	sum := fleet.NewTotals()
 	for _, report := range arrived {
-		sum = addReport(sum, report, 1)
+		sum.AddReport(report, age, 1)
 	}
 	for i, p := range s.pools {
 		if s.rng.Float64() < s.loss {
 			continue
 		}
-		others := sum
+		others := fleet.NewTotals()
+		others.Add(sum)
 		if i < len(arrived) {
-			others = addReport(sum, arrived[i], -1)
+			others.AddReport(arrived[i], age, -1)
 		}
 		p.setRemote(s.now, others, len(s.pools)-1)
 	}
@@ -159,21 +159,6 @@
 	}
 }
 
-// addReport returns totals to which a report is added, or with sign -1 subtracted.
-func addReport(totals *fleet.Totals, report *fleet.Report, sign int) *fleet.Totals {
-	sum := &fleet.Totals{AgeMs: totals.AgeMs, Routers: totals.Routers + sign, Loads: maps.Clone(totals.Loads), WorkspaceTokens: maps.Clone(totals.WorkspaceTokens)}
-	if sum.Loads == nil {
-		sum.Loads, sum.WorkspaceTokens = map[string]placement.Load{}, map[string]fairshare.Tokens{}
-	}
-	for _, load := range report.Loads {
-		sum.Loads[load.Upstream] = sum.Loads[load.Upstream].Plus(load, sign)
-	}
-	for workspace, tokens := range report.WorkspaceTokens {
-		sum.WorkspaceTokens[workspace] = sum.WorkspaceTokens[workspace].Add(tokens.Scale(float64(sign)))
-	}
-	return sum
-}
-
 // arrivals plays the requests of one millisecond.
 func (s *shareSim) arrivals(load shareLoad) {
 	const meanCost = 4470 // of the requests below
@@ -194,11 +179,11 @@
 }
 
 func (s *shareSim) request(p *pools, workspace string, headers platform.CallerRequest) {
-	if s.services[workspace] == nil {
-		s.services[workspace] = &catalog.Workspace{Name: workspace}
+	if s.workspaces[workspace] == nil {
+		s.workspaces[workspace] = &catalog.Workspace{Name: workspace}
 		s.granted[workspace] = make([]float64, len(s.reports))
 	}
-	c := &call{request: &http.Request{}, service: simService, workspace: s.services[workspace], route: simRoute, headers: headers}
+	c := &call{request: &http.Request{}, service: simService, workspace: s.workspaces[workspace], route: simRoute, headers: headers}
 	c.deadline = s.now.Add(15 * time.Second)
 	a := p.assign(s.now, c)
 	if workspace == "wide" {
