--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -18,11 +18,12 @@
 // Tokens counts the tokens that one workspace requested and was granted within the
 // window.
 type Tokens struct {
-	Requested float64 `cbor:"1,keyasint,omitempty"`
-	Granted   float64 `cbor:"2,keyasint,omitempty"`
+	_         struct{} `cbor:",toarray"`
+	Requested float64
+	Granted   float64
 	// Refused counts tokens that were refused for lack of capacity although the
 	// workspace was within its share.
-	Refused float64 `cbor:"3,keyasint,omitempty"`
+	Refused float64
 }
 
 // Add returns the sum of t and other.
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -1,11 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/rotisserie/eris"
 )
 
 const (
@@ -17,75 +15,24 @@
 	// data centre. The first live one forwards the sums; the next one takes over
 	// when it falls silent.
 	relaysPerDataCentre = 2
+	// maxMembersPerInterval is the number of members that a relay serves within a
+	// ReportInterval. Members of larger data centres exchange messages with their
+	// relays less often, so that the messages of a relay do not grow with the fleet.
+	maxMembersPerInterval = 16
 	// relayTimeout is the silence after which the next relay takes over.
 	relayTimeout = 4 * ReportInterval
-	// membersInterval is the number of digests after which one lists the members.
-	// Sending that many must take much less time than LiveTimeout.
-	membersInterval = 2
+	// resyncInterval is the time between two requests to begin a stream of digests
+	// again.
+	resyncInterval = time.Second
 )
 
-// Digest is the sum of several reports. Relays of different data centres exchange
-// the digests of their data centres, and send each member of their own the sum over
-// all other routers.
-type Digest struct {
-	// DataCentre is empty in the digest that a relay sends to a member.
-	DataCentre string  `cbor:"1,keyasint,omitempty"`
-	Totals     *Totals `cbor:"2,keyasint"`
-	// Members lists the live routers that the sums cover; only some digests have
-	// it.
-	Members []LastSeen `cbor:"3,keyasint,omitempty"`
-}
-
-// LastSeen is a router and how long ago it was heard from.
-type LastSeen struct {
-	Record
-	AgeMs int64 `cbor:"7,keyasint,omitempty"`
-}
-
-// Envelope is one message between routers: always the sender's report, and from
-// relays also a digest.
-type Envelope struct {
-	Report *Report `cbor:"1,keyasint"`
-	Digest *Digest `cbor:"2,keyasint,omitempty"`
-}
-
-// Encode returns the wire form of a message.
-func (e *Envelope) Encode() ([]byte, error) { return cbor.Marshal(e) }
-
-// DecodeEnvelope decodes a message. Errors: ErrMessage.
-func DecodeEnvelope(data []byte) (*Envelope, error) {
-	var e Envelope
-	if err := cbor.Unmarshal(data, &e); err != nil {
-		return nil, eris.Wrap(ErrMessage, err.Error())
-	}
-	if e.Report == nil || e.Report.Host == "" || e.Report.Sequence == 0 {
-		return nil, eris.Wrap(ErrMessage, "report has no host or no sequence number")
-	}
-	if e.Digest != nil && e.Digest.Totals == nil {
-		return nil, eris.Wrap(ErrMessage, "digest has no totals")
-	}
-	return &e, nil
-}
-
-// Message is an envelope with its recipients.
-type Message struct {
-	To       []string
-	Envelope Envelope
-}
-
-// receivedDigest is a digest with its time of arrival.
-type receivedDigest struct {
-	digest     *Digest
-	receivedAt time.Time
-}
-
 // usesRelays reports whether reports go through relays. Routers that were not heard
 // from yet count towards the size of the fleet; otherwise all routers of a starting
 // fleet would connect to each other before they know how many they are.
 func (t *Table) usesRelays(now time.Time) bool {
 	size := 1
 	for _, m := range t.members {
-		if m.live(now) || now.Sub(later(m.heardAt, m.firstSeenAt)) < recentWindow {
+		if t.isLive(now, m) || now.Sub(later(m.lastHeard(), m.firstSeenAt)) < recentWindow {
 			size++
 		}
 	}
@@ -104,8 +51,8 @@
 }
 
 // isActiveRelay reports whether this router is the relay that forwards sums.
-func (t *Table) isActiveRelay(now time.Time) bool {
-	for _, host := range t.relays(now, t.self.DataCentre) {
+func (t *Table) isActiveRelay(now time.Time, relays []string) bool {
+	for _, host := range relays {
 		if host == t.self.Host {
 			return true
 		}
@@ -116,40 +63,132 @@
 	return false
 }
 
+// pace returns the time between two messages of a relay to a member of a data
+// centre, and between two reports of a member.
+func (t *Table) pace(dataCentre string) time.Duration {
+	return max(t.paces[dataCentre], ReportInterval)
+}
+
+// countPaces computes the pace of each data centre from its live routers.
+func (t *Table) countPaces(now time.Time) {
+	counts := map[string]int{}
+	for _, r := range t.Live(now) {
+		counts[r.DataCentre]++
+	}
+	clear(t.paces)
+	for dataCentre, count := range counts {
+		t.paces[dataCentre] = ReportInterval * time.Duration((count+maxMembersPerInterval-1)/maxMembersPerInterval)
+	}
+}
+
+// due reports whether a message that is sent once per pace is due. Ticks are a
+// ReportInterval apart, and a triggered one may come just before a regular one.
+func due(now, last time.Time, pace time.Duration) bool { return now.Sub(last) >= pace-ReportInterval/2 }
+
 // Messages completes this router's report and returns the messages to send.
 func (t *Table) Messages(now time.Time, own *Report) []Message {
 	t.stamp(own)
 	if !t.usesRelays(now) {
+		own.Interest = nil // the recipients are no relays
 		if t.sequence%knownInterval == 1 {
 			t.addKnown(own)
 		}
-		return []Message{{To: t.recipients(now), Envelope: Envelope{Report: own}}}
+		return []Message{{To: t.recipients(now), Kind: KindReport, Envelope: Envelope{Report: own}}}
 	}
 	relays := t.relays(now, t.self.DataCentre)
-	messages := []Message{{To: t.otherHosts(relays), Envelope: Envelope{Report: own}}}
-	if !t.isActiveRelay(now) {
-		return append(messages, t.newcomerMessages(now, own, relays)...)
+	active := t.isActiveRelay(now, relays)
+	messages := t.resyncRequests(now, own)
+	if t.reportDue(now, own, slices.Contains(relays, t.self.Host)) {
+		t.reported, t.reportedAt = own.versions(), now
+		t.announceInterest(own)
+		messages = append(messages, Message{To: t.otherHosts(relays), Kind: KindReport, Envelope: Envelope{Report: own}})
+	}
+	messages = append(messages, t.introductions(now, own, active)...)
+	if active {
+		messages = append(messages, Message{To: t.dueProbes(now), Kind: KindProbe, Envelope: Envelope{Report: own}})
+	}
+	if active && (due(now, t.digestsAt, t.pace(t.self.DataCentre)) || t.digestVersions != own.versions()) {
+		t.digestsAt, t.digestVersions = now, own.versions()
+		messages = append(messages, t.digestMessages(now, own)...)
+	}
+	return messages
+}
+
+// reportDue reports whether the relays are due for a report. Relays report to each
+// other at each interval, because silence makes the next one take over.
+func (t *Table) reportDue(now time.Time, own *Report, isRelay bool) bool {
+	return isRelay || t.reported != own.versions() || due(now, t.reportedAt, t.pace(t.self.DataCentre))
+}
+
+// resyncRequests asks relays whose digests were lost to begin their streams again.
+func (t *Table) resyncRequests(now time.Time, own *Report) []Message {
+	var messages []Message
+	for host, s := range t.streams {
+		if s.contiguous || now.Sub(s.askedAt) < resyncInterval || now.Sub(s.receivedAt) > resyncInterval {
+			continue
+		}
+		s.askedAt = now
+		messages = append(messages, Message{To: []string{host}, Kind: KindResync, Envelope: Envelope{Report: own, Resync: s.epoch}})
 	}
-	messages = append(messages, Message{To: t.dueProbes(now), Envelope: Envelope{Report: own}})
-	return append(messages, t.digestMessages(now, own)...)
+	return messages
 }
 
-// newcomerMessages sends the list of known routers to routers that report to this
-// one although it is no relay: they have just started and know only their seeds.
-func (t *Table) newcomerMessages(now time.Time, own *Report, relays []string) []Message {
-	var newcomers []string
+// resync begins the stream of digests to a router again, if it has the given epoch.
+func (t *Table) resync(host string, epoch uint64) {
+	if m := t.members[host]; m != nil && m.digests != nil && m.digests.epoch == epoch {
+		m.digests = nil
+	}
+	if t.dataCentreDigests != nil && t.dataCentreDigests.epoch == epoch {
+		t.dataCentreDigests = nil
+	}
+}
+
+// introductions tells routers that have just started, and know only their seeds, of
+// the routers that are likely to be relays.
+func (t *Table) introductions(now time.Time, own *Report, active bool) []Message {
+	var messages []Message
 	for host, m := range t.members {
 		isNew := now.Sub(m.firstSeenAt) < 2*probeInterval
-		if isNew && m.report != nil && now.Sub(m.reportedAt) < ReportInterval && !slices.Contains(relays, host) {
-			newcomers = append(newcomers, host)
+		receivesDigests := active && m.record.DataCentre == t.self.DataCentre
+		if !isNew || receivesDigests || m.report == nil || now.Sub(m.reportedAt) >= ReportInterval || now.Sub(m.introducedAt) < probeInterval {
+			continue
 		}
+		m.introducedAt = now
+		introduction := *own
+		introduction.Loads, introduction.WorkspaceTokens, introduction.Retries, introduction.Interest = nil, nil, nil, nil
+		introduction.Known = t.likelyRelays(now, m.record.DataCentre)
+		messages = append(messages, Message{To: []string{host}, Kind: KindIntroduction, Envelope: Envelope{Report: &introduction}})
 	}
-	if len(newcomers) == 0 || slices.Contains(relays, t.self.Host) {
-		return nil
+	return messages
+}
+
+// likelyRelays returns the first known routers of each data centre, live ones first,
+// and a few more of the given one.
+func (t *Table) likelyRelays(now time.Time, dataCentre string) []Record {
+	byDataCentre := map[string][]*member{}
+	for _, m := range t.members {
+		byDataCentre[m.record.DataCentre] = append(byDataCentre[m.record.DataCentre], m)
 	}
-	known := *own
-	t.addKnown(&known)
-	return []Message{{To: newcomers, Envelope: Envelope{Report: &known}}}
+	var likely []Record
+	for name, members := range byDataCentre {
+		slices.SortFunc(members, func(a, b *member) int {
+			if live := t.isLive(now, a); live != t.isLive(now, b) {
+				if live {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(a.record.Host, b.record.Host)
+		})
+		count := relaysPerDataCentre
+		if name == dataCentre {
+			count += extraProbes
+		}
+		for _, m := range members[:min(len(members), count)] {
+			likely = append(likely, m.record)
+		}
+	}
+	return likely
 }
 
 // otherHosts returns hosts without the one of this router.
@@ -163,49 +202,72 @@
 	return otherHosts
 }
 
-// digestMessages returns the sums of this data centre for the relays of the others,
-// and for each member of this data centre the sums over all other routers.
+// digestMessages returns the changes of the sums of this data centre for the relays
+// of the others, and for each member of this data centre the changes of the sums
+// over all other routers.
 func (t *Table) digestMessages(now time.Time, own *Report) []Message {
 	localTotals := NewTotals()
 	localTotals.AddReport(own, 0, 1)
 	var members []*member
 	for _, m := range t.members {
-		if m.report != nil && now.Sub(m.reportedAt) < LiveTimeout && m.record.DataCentre == t.self.DataCentre {
+		if m.record.DataCentre == t.self.DataCentre && t.hasFreshReport(now, m) {
 			localTotals.AddReport(m.report, now.Sub(m.reportedAt), 1)
 			members = append(members, m)
 		}
 	}
-	t.digestCount++
-	withMembers := t.digestCount%membersInterval == 0
-	digest := &Digest{DataCentre: t.self.DataCentre, Totals: localTotals}
 	fleetTotals := NewTotals()
 	fleetTotals.Add(localTotals)
 	t.addRemoteDigests(now, fleetTotals)
-	var liveRouters []LastSeen
-	if withMembers {
-		liveRouters = t.lastSeen(now)
-		for _, s := range liveRouters {
-			if s.DataCentre == t.self.DataCentre {
-				digest.Members = append(digest.Members, s)
-			}
-		}
-	}
-	// The digest already includes this router's own loads, tokens and retries.
+	// The digests already include this router's own loads, tokens and retries.
 	withoutLoads := *own
-	withoutLoads.Loads, withoutLoads.WorkspaceTokens, withoutLoads.Retries = nil, nil, nil
-	messages := []Message{{To: t.remoteRelays(now), Envelope: Envelope{Report: &withoutLoads, Digest: digest}}}
+	withoutLoads.Loads, withoutLoads.WorkspaceTokens, withoutLoads.Retries, withoutLoads.Interest = nil, nil, nil, nil
+	remote := t.remoteRelays(now)
+	recipients := len(members) + len(remote)
+	messages := t.dataCentreMessages(now, &withoutLoads, localTotals, remote, recipients)
+	live := t.Live(now)
 	for _, m := range members {
-		totals := NewTotals()
-		totals.Add(fleetTotals)
+		if m.digests == nil {
+			m.digests = t.newDigestWriter()
+		}
+		totals := fleetTotals.restrictedTo(m.interest)
 		totals.AddReport(m.report, now.Sub(m.reportedAt), -1)
-		messages = append(messages, Message{
-			To:       []string{m.record.Host},
-			Envelope: Envelope{Report: own, Digest: &Digest{Totals: totals, Members: liveRouters}},
-		})
+		digest := m.digests.next("", digestContent{totals: totals, members: live, interest: m.interest}, recipients)
+		messages = append(messages, Message{To: []string{m.record.Host}, Kind: KindMemberDigest, Envelope: Envelope{Report: &withoutLoads, Digest: digest}})
 	}
 	return messages
 }
 
+// dataCentreMessages returns the message with the sums of this data centre. All
+// relays receive the same stream, which begins again when there is a new one.
+// recipients is the number of routers that this one sends digests to.
+func (t *Table) dataCentreMessages(now time.Time, own *Report, localTotals *Totals, relays []string, recipients int) []Message {
+	for _, host := range relays {
+		if !slices.Contains(t.digestRecipients, host) {
+			t.dataCentreDigests = nil
+		}
+	}
+	t.digestRecipients = relays
+	if len(relays) == 0 {
+		return nil
+	}
+	if t.dataCentreDigests == nil {
+		t.dataCentreDigests = t.newDigestWriter()
+	}
+	var members []Record
+	for _, r := range t.Live(now) {
+		if r.DataCentre == t.self.DataCentre {
+			members = append(members, r)
+		}
+	}
+	digest := t.dataCentreDigests.next(t.self.DataCentre, digestContent{totals: localTotals, members: members}, recipients)
+	return []Message{{To: relays, Kind: KindDataCentreDigest, Envelope: Envelope{Report: own, Digest: digest}}}
+}
+
+func (t *Table) newDigestWriter() *digestWriter {
+	t.epochs++
+	return newDigestWriter(t.epochs)
+}
+
 // remoteRelays returns the relays of the other data centres.
 func (t *Table) remoteRelays(now time.Time) []string {
 	var remote []string
@@ -220,51 +282,63 @@
 	return remote
 }
 
-// lastSeen returns the live routers with how long ago they were heard from.
-func (t *Table) lastSeen(now time.Time) []LastSeen {
-	lastSeen := []LastSeen{{Record: t.self}}
-	for _, m := range t.members {
-		if m.live(now) {
-			lastSeen = append(lastSeen, LastSeen{Record: m.record, AgeMs: now.Sub(m.heardAt).Milliseconds()})
+// receiveDigest applies the digest of a relay.
+func (t *Table) receiveDigest(now time.Time, sender Record, d *Digest) {
+	s := t.streams[sender.Host]
+	if s == nil {
+		s = &stream{}
+		t.streams[sender.Host] = s
+	}
+	goneMembers, newer := s.receive(now, sender.Incarnation, d)
+	if !newer {
+		return
+	}
+	for _, members := range []map[string]Record{s.usable().members, s.current.members} {
+		for _, r := range members {
+			if r.Host != sender.Host {
+				t.markSeen(now, r)
+			}
 		}
 	}
-	return lastSeen
-}
-
-// receiveDigest stores the digest of a relay.
-func (t *Table) receiveDigest(now time.Time, d *Digest) {
-	t.digests[d.DataCentre] = receivedDigest{digest: d, receivedAt: now}
-	for _, s := range d.Members {
-		t.markSeen(now, s)
+	for _, gone := range goneMembers {
+		t.markGone(now, gone)
 	}
 }
 
-// markSeen records that another router has heard from a router.
-func (t *Table) markSeen(now time.Time, s LastSeen) {
-	if s.Host == "" || s.Host == t.self.Host {
+// markSeen records that a relay considers a router live.
+func (t *Table) markSeen(now time.Time, r Record) {
+	if r.Host == "" || r.Host == t.self.Host {
 		return
 	}
-	t.Learn(now, []Record{s.Record})
-	m := t.members[s.Host]
-	if s.Incarnation < m.record.Incarnation {
-		return
+	t.Learn(now, []Record{r})
+	m := t.members[r.Host]
+	if r.Incarnation == m.record.Incarnation {
+		r.State = max(r.State, m.record.State) // states only advance
+		m.record, m.heardAt = r, now
 	}
-	if at := now.Add(-time.Duration(s.AgeMs) * time.Millisecond); at.After(m.heardAt) {
-		m.heardAt, m.record = at, s.Record
+}
+
+// markGone records that a relay no longer considers a router live.
+func (t *Table) markGone(now time.Time, gone GoneMember) {
+	if m := t.members[gone.Host]; m != nil && m.record.Incarnation <= gone.Incarnation {
+		expired := now.Add(-t.relayedTimeout(m.record.DataCentre))
+		if m.heardAt.After(expired) {
+			m.heardAt = expired
+		}
 	}
 }
 
 // Totals returns the sums over the other routers.
 func (t *Table) Totals(now time.Time) *Totals {
 	usesRelays := t.usesRelays(now)
-	if r, ok := t.digests[""]; ok && now.Sub(r.receivedAt) < LiveTimeout && usesRelays {
-		return r.digest.Totals.aged(now.Sub(r.receivedAt))
+	if s := t.freshStream(now, ""); s != nil && usesRelays {
+		return s.usable().totals.aged(now.Sub(s.receivedAt))
 	}
 	totals := NewTotals()
 	for _, m := range t.members {
 		// Reports of relays in other data centres are included in their digests.
 		included := !usesRelays || m.record.DataCentre == t.self.DataCentre
-		if included && m.report != nil && now.Sub(m.reportedAt) < LiveTimeout {
+		if included && t.hasFreshReport(now, m) {
 			totals.AddReport(m.report, now.Sub(m.reportedAt), 1)
 		}
 	}
@@ -274,11 +348,30 @@
 	return totals
 }
 
-// addRemoteDigests adds the digests of the other data centres.
+// addRemoteDigests adds the sums of the other data centres.
 func (t *Table) addRemoteDigests(now time.Time, totals *Totals) {
-	for dataCentre, r := range t.digests {
-		if dataCentre != "" && dataCentre != t.self.DataCentre && now.Sub(r.receivedAt) < LiveTimeout {
-			totals.Add(r.digest.Totals.aged(now.Sub(r.receivedAt)))
+	for dataCentre := range t.paces {
+		if dataCentre == t.self.DataCentre {
+			continue
+		}
+		if s := t.freshStream(now, dataCentre); s != nil {
+			totals.Add(s.usable().totals.aged(now.Sub(s.receivedAt)))
+		}
+	}
+}
+
+// freshStream returns the stream to use for the sums of a data centre, or for the
+// sums over all other routers if dataCentre is empty. While one relay takes over
+// from another there are two, each with all sums.
+func (t *Table) freshStream(now time.Time, dataCentre string) *stream {
+	var best *stream
+	for _, s := range t.streams {
+		if s.dataCentre != dataCentre || now.Sub(s.receivedAt) >= t.reportTimeout(dataCentre) {
+			continue
+		}
+		if best == nil || s.complete() != best.complete() && s.complete() || s.complete() == best.complete() && s.receivedAt.After(best.receivedAt) {
+			best = s
 		}
 	}
+	return best
 }
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -26,6 +26,11 @@
 	connections map[[2]string]bool         // pairs of sender and recipient
 	partitioned func(from, to string) bool // whether messages between two routers are lost; nil if none are
 	bytes       int
+	// report returns the report of a router without its record; nil for one with
+	// the same load at every router.
+	report    func(host string) *Report
+	bytesSent map[string]int // bodies by sender
+	bytesOf   map[Kind]int   // bodies by kind
 }
 
 type inFlightMessage struct {
@@ -37,6 +42,7 @@
 func newNetwork(routers, dataCentres int, loss float64) *network {
 	n := &network{
 		rng: rand.New(rand.NewPCG(1, 2)), now: start, tables: map[string]*Table{}, stopped: map[string]bool{}, loss: loss, sent: map[string]int{}, connections: map[[2]string]bool{},
+		bytesSent: map[string]int{}, bytesOf: map[Kind]int{},
 	}
 	var records []Record
 	for i := range routers {
@@ -89,12 +95,17 @@
 		Loads:           []placement.Load{{Upstream: "u", Requests: 1, WaitingTokens: 10, Failing: host == "h005"}},
 		WorkspaceTokens: map[string]fairshare.Tokens{"w": {Requested: 2, Granted: 1}},
 	}
+	if n.report != nil {
+		r = n.report(host)
+	}
 	for _, m := range table.Messages(n.now, r) {
 		body, err := m.Envelope.Encode()
 		require.NoError(t, err)
 		for _, to := range m.To {
 			n.sent[host]++
 			n.bytes += len(body)
+			n.bytesSent[host] += len(body)
+			n.bytesOf[m.Kind] += len(body)
 			n.connections[[2]string{host, to}] = true
 			if n.partitioned != nil && n.partitioned(host, to) {
 				continue
@@ -188,16 +199,18 @@
 func TestDigestsCarryLoadsOnce(t *testing.T) {
 	n := newNetwork(60, 3, 0)
 	n.run(t, 2*time.Second)
-	withLoads := Report{Loads: []placement.Load{{Upstream: "u", Requests: 1}}, WorkspaceTokens: map[string]fairshare.Tokens{"w": {Requested: 2}}}
+	withLoads := Report{Loads: []placement.Load{{Upstream: "u", Requests: 5}}, WorkspaceTokens: map[string]fairshare.Tokens{"w": {Requested: 9}}}
 	digests := 0
+	later := n.now.Add(2 * ReportInterval) // relays of 20 members send digests that often
 	for _, table := range n.tables {
 		own := withLoads
-		for _, m := range table.Messages(n.now, &own) {
+		for _, m := range table.Messages(later, &own) {
 			if m.Envelope.Digest == nil || m.Envelope.Digest.DataCentre == "" {
 				continue
 			}
 			digests++
-			assert.NotEmpty(t, m.Envelope.Digest.Totals.Loads)
+			assert.NotEmpty(t, m.Envelope.Digest.Upstreams)
+			assert.NotEmpty(t, m.Envelope.Digest.Workspaces)
 			assert.Empty(t, m.Envelope.Report.Loads)
 			assert.Empty(t, m.Envelope.Report.WorkspaceTokens)
 			assert.NotZero(t, m.Envelope.Report.Sequence, "versions and membership are still sent")
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -6,16 +6,11 @@
 import (
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/placement"
 )
 
-// ErrMessage reports a message that cannot be decoded.
-var ErrMessage = eris.New("cannot decode message of a router")
-
 // State is the state of a router.
 type State uint8
 
@@ -64,6 +59,29 @@
 	// Known lists the routers that the sender knows. It is sent occasionally, so
 	// that new routers learn of all others.
 	Known []Record `cbor:"14,keyasint,omitempty"`
+	// Interest lists the upstreams whose loads the sender needs from its relay; nil
+	// stands for what it has announced before, and for all before the first one.
+	Interest *Interest `cbor:"15,keyasint,omitempty"`
+}
+
+// Interest lists upstreams whose loads a router needs.
+type Interest struct {
+	// Reset is set if the list replaces what was announced before. Otherwise it adds
+	// to it.
+	Reset bool `cbor:"1,keyasint,omitempty"`
+	// All is set if the router needs the loads of all upstreams.
+	All       bool     `cbor:"2,keyasint,omitempty"`
+	Upstreams []string `cbor:"3,keyasint,omitempty"`
+}
+
+// versions are the parts of a report that other routers wait for.
+type versions struct {
+	state             State
+	config, upstreams int64
+}
+
+func (r *Report) versions() versions {
+	return versions{state: r.State, config: r.ConfigVersion, upstreams: r.UpstreamsVersion}
 }
 
 // StoreAge returns StoreAgeMs as a duration.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -11,17 +11,24 @@
 	// ReportInterval is the time between reports of a router. Placement uses loads
 	// that are at most this old plus one network delay.
 	ReportInterval = 150 * time.Millisecond
-	// LiveTimeout is the silence after which a router no longer counts as live. On
-	// a bad link several reports in a row may be lost or late.
-	LiveTimeout = 1200 * time.Millisecond
-	// relayedLiveTimeout is the same for routers heard of through relays, whose
-	// reports pass through two of them.
-	relayedLiveTimeout = LiveTimeout + 4*ReportInterval
+	// reportLifetime is how long the loads and tokens of a report count.
+	reportLifetime = 1200 * time.Millisecond
+	// silentAfter is the silence after which a router that reports to this one no
+	// longer counts as live. On a bad link several reports in a row may be lost or
+	// late.
+	silentAfter = reportLifetime + 4*ReportInterval
+	// relayedSilentAfter is the same for routers heard of through relays. It is
+	// longer, so that another relay can take over before those that the silent one
+	// spoke for are considered silent as well.
+	relayedSilentAfter = silentAfter + 4*ReportInterval
 	// knownInterval is the number of reports after which one lists the known
 	// routers.
 	knownInterval = 6
 	// probeInterval is the time between reports to a silent router.
 	probeInterval = time.Second
+	// seedInterval is the time between reports to seeds while no other router was
+	// heard from.
+	seedInterval = 300 * time.Millisecond
 	// extraProbes is the number of silent routers of one data centre, besides the
 	// likely relays, that are probed at a time when relays are in use. That covers
 	// a data centre of the target size in half a minute.
@@ -40,17 +47,31 @@
 
 // Table is what one router knows of the others. It is not safe for concurrent use.
 type Table struct {
-	self     Record
-	members  map[string]*member
-	seeds    map[string]time.Time // last probe, by peer address
-	lastStep time.Time
-	sequence uint64 // of the latest report sent
-	// digests holds the latest digest of each data centre. The empty key is the
-	// digest for this router as a member.
-	digests     map[string]receivedDigest
-	digestCount int
-	startedAt   time.Time
-	probedAt    time.Time // last probe of any silent router
+	self      Record
+	members   map[string]*member
+	seeds     map[string]time.Time // last probe, by peer address
+	lastStep  time.Time
+	sequence  uint64 // of the latest report sent
+	startedAt time.Time
+	probedAt  time.Time // last probe of any silent router
+	// seedProbedAt is the last probe of any seed.
+	seedProbedAt time.Time
+	// paces holds the pace of each data centre; see countPaces.
+	paces map[string]time.Duration
+	// reported and reportedAt belong to the latest report to the relays.
+	reported   versions
+	reportedAt time.Time
+	interest   announcedInterest
+
+	// streams holds the digests received, by the host of the relay.
+	streams map[string]*stream
+
+	// The fields below belong to the digests that this router sends as a relay.
+	epochs            uint64 // of streams so far
+	digestsAt         time.Time
+	digestVersions    versions
+	dataCentreDigests *digestWriter // nil before the first one
+	digestRecipients  []string      // of dataCentreDigests
 
 	// cachedLive is the result of Live at cachedLiveAt, nil after a change.
 	cachedLive   []Record
@@ -62,14 +83,28 @@
 	record      Record
 	report      *Report
 	reportedAt  time.Time // latest report received here
-	heardAt     time.Time // latest report, received here or by a relay; zero before the first
+	heardAt     time.Time // when a relay last listed the router as live; zero before the first time
 	firstSeenAt time.Time
 	probedAt    time.Time
+	// introducedAt is when the router was last told of likely relays.
+	introducedAt time.Time
+	// interest holds the upstreams that the router needs; nil stands for all.
+	interest map[string]bool
+	// digests writes the digests for the router; nil before the first one.
+	digests *digestWriter
+}
+
+// reset forgets what an earlier incarnation of the router has sent.
+func (m *member) reset(now time.Time) {
+	*m = member{record: m.record, firstSeenAt: now, probedAt: m.probedAt}
 }
 
 // NewTable returns the table of the router self, which probes seeds.
 func NewTable(self Record, seeds []string, now time.Time) *Table {
-	t := &Table{self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, lastStep: now, digests: map[string]receivedDigest{}, startedAt: now}
+	t := &Table{
+		self: self, members: map[string]*member{}, seeds: map[string]time.Time{}, lastStep: now, startedAt: now,
+		paces: map[string]time.Duration{}, streams: map[string]*stream{},
+	}
 	for _, seed := range seeds {
 		if seed != self.Host {
 			t.seeds[seed] = time.Time{}
@@ -101,8 +136,8 @@
 			continue
 		}
 		if r.Incarnation > m.record.Incarnation {
-			m.record, m.report, m.heardAt, m.firstSeenAt = r, nil, time.Time{}, now
-			m.reportedAt = time.Time{}
+			m.record = r
+			m.reset(now)
 		}
 	}
 }
@@ -111,13 +146,14 @@
 // previous one.
 func (t *Table) Receive(now time.Time, e *Envelope) (newer bool) {
 	t.cachedLive = nil
-	if !t.receiveReport(now, e.Report) {
-		return false
+	newer = t.receiveReport(now, e.Report)
+	if e.Resync != 0 {
+		t.resync(e.Report.Host, e.Resync)
 	}
 	if e.Digest != nil {
-		t.receiveDigest(now, e.Digest)
+		t.receiveDigest(now, e.Report.Record, e.Digest)
 	}
-	return true
+	return newer
 }
 
 // receiveReport stores the report of another router if it is newer than the stored
@@ -135,7 +171,11 @@
 	if old != nil && (r.Incarnation < old.Incarnation || r.Incarnation == old.Incarnation && r.Sequence <= old.Sequence) {
 		return false
 	}
-	m.record, m.report, m.reportedAt, m.heardAt = r.Record, r, now, now
+	if r.Incarnation > m.record.Incarnation {
+		m.reset(now)
+	}
+	m.record, m.report, m.reportedAt = r.Record, r, now
+	m.addInterest(r.Interest)
 	t.Learn(now, r.Known)
 	return true
 }
@@ -150,15 +190,26 @@
 		for _, m := range t.members {
 			if !m.heardAt.IsZero() {
 				m.heardAt = m.heardAt.Add(gap)
+			}
+			if !m.reportedAt.IsZero() {
 				m.reportedAt = m.reportedAt.Add(gap)
 			}
 		}
 	}
 	for host, m := range t.members {
-		if now.Sub(later(m.heardAt, m.firstSeenAt)) > ForgetAfter {
+		if now.Sub(later(m.lastHeard(), m.firstSeenAt)) > ForgetAfter {
 			delete(t.members, host)
 		}
 	}
+	for host, s := range t.streams {
+		if gap > minProcessPause {
+			s.receivedAt = s.receivedAt.Add(gap)
+		}
+		if now.Sub(s.receivedAt) > recentWindow {
+			delete(t.streams, host)
+		}
+	}
+	t.countPaces(now)
 }
 
 func later(a, b time.Time) time.Time {
@@ -168,10 +219,41 @@
 	return b
 }
 
-// live reports whether the router was heard from recently, directly or through
+// isLive reports whether a router was heard from recently, directly or through
 // relays.
-func (m *member) live(now time.Time) bool {
-	return !m.reportedAt.IsZero() && now.Sub(m.reportedAt) < LiveTimeout || !m.heardAt.IsZero() && now.Sub(m.heardAt) < relayedLiveTimeout
+func (t *Table) isLive(now time.Time, m *member) bool {
+	dataCentre := m.record.DataCentre
+	return !m.reportedAt.IsZero() && now.Sub(m.reportedAt) < t.silenceTimeout(dataCentre) ||
+		!m.heardAt.IsZero() && now.Sub(m.heardAt) < t.relayedTimeout(dataCentre)
+}
+
+// lastHeard returns when the router was last heard from, directly or through a relay.
+func (m *member) lastHeard() time.Time { return later(m.heardAt, m.reportedAt) }
+
+// hasFreshReport reports whether the latest report of a router still counts.
+func (t *Table) hasFreshReport(now time.Time, m *member) bool {
+	return m.report != nil && now.Sub(m.reportedAt) < t.reportTimeout(m.record.DataCentre)
+}
+
+// reportTimeout returns the silence after which the reports and digests of a data
+// centre no longer count; the empty name stands for the one of this router.
+func (t *Table) reportTimeout(dataCentre string) time.Duration {
+	if dataCentre == "" {
+		dataCentre = t.self.DataCentre
+	}
+	return reportLifetime + t.pace(dataCentre) - ReportInterval
+}
+
+// silenceTimeout returns the silence after which a router of a data centre that
+// reports to this one no longer counts as live.
+func (t *Table) silenceTimeout(dataCentre string) time.Duration {
+	return silentAfter + t.pace(dataCentre) - ReportInterval
+}
+
+// relayedTimeout returns the time after which a router of a data centre that relays
+// no longer mention does not count as live.
+func (t *Table) relayedTimeout(dataCentre string) time.Duration {
+	return relayedSilentAfter + t.pace(dataCentre) + t.pace(t.self.DataCentre) - 2*ReportInterval
 }
 
 // recipients returns the hosts to send the next report to when each router reports
@@ -179,7 +261,7 @@
 func (t *Table) recipients(now time.Time) []string {
 	hosts := t.dueProbes(now)
 	for host, m := range t.members {
-		if m.live(now) {
+		if t.isLive(now, m) {
 			hosts = append(hosts, host)
 		}
 	}
@@ -199,15 +281,38 @@
 			hosts = append(hosts, m.record.Host)
 		}
 	}
-	for seed, probedAt := range t.seeds {
-		if t.members[seed] == nil && now.Sub(probedAt) >= probeInterval {
-			t.seeds[seed] = now
-			hosts = append(hosts, seed)
-		}
+	if seed := t.dueSeed(now); seed != "" {
+		t.seeds[seed], t.seedProbedAt = now, now
+		hosts = append(hosts, seed)
 	}
 	return hosts
 }
 
+// dueSeed returns the seed to probe now, or "". Every starting router has the same
+// few seeds, so each probes one at a time, and none while it hears of others.
+func (t *Table) dueSeed(now time.Time) string {
+	interval := probeInterval
+	if len(t.Live(now)) == 1 {
+		interval = seedInterval
+		if len(t.members) > 0 && now.Sub(t.startedAt) < probeInterval {
+			return "" // the routers that the store lists are probed first
+		}
+	}
+	if now.Sub(t.seedProbedAt) < interval {
+		return ""
+	}
+	var unknown []string
+	for seed := range t.seeds {
+		if t.members[seed] == nil {
+			unknown = append(unknown, seed)
+		}
+	}
+	if len(unknown) == 0 {
+		return ""
+	}
+	return slices.MinFunc(unknown, func(a, b string) int { return t.seeds[a].Compare(t.seeds[b]) })
+}
+
 // probeCandidates returns the silent routers that may be probed now.
 func (t *Table) probeCandidates(now time.Time) []*member {
 	usesRelays := t.usesRelays(now)
@@ -220,23 +325,23 @@
 	silent := map[string][]*member{} // by data centre
 	for _, m := range t.members {
 		dataCentre := m.record.DataCentre
-		if !m.live(now) && (!localOnly || dataCentre == t.self.DataCentre) {
+		if !t.isLive(now, m) && (!localOnly || dataCentre == t.self.DataCentre) {
 			silent[dataCentre] = append(silent[dataCentre], m)
 		}
 	}
 	var chosen []*member
 	for _, members := range silent {
 		if usesRelays {
-			members = likelyRelays(members)
+			members = firstSilent(members)
 		}
 		chosen = append(chosen, members...)
 	}
 	return chosen
 }
 
-// likelyRelays returns the first silent routers of a data centre by host and, of
-// the rest, those probed longest ago.
-func likelyRelays(silent []*member) []*member {
+// firstSilent returns the first silent routers of a data centre by host, which are
+// its relays if they are live, and, of the rest, those probed longest ago.
+func firstSilent(silent []*member) []*member {
 	slices.SortFunc(silent, func(a, b *member) int { return strings.Compare(a.record.Host, b.record.Host) })
 	if len(silent) <= relaysPerDataCentre {
 		return silent
@@ -281,7 +386,7 @@
 	}
 	live := []Record{t.self}
 	for _, m := range t.members {
-		if m.live(now) {
+		if t.isLive(now, m) {
 			live = append(live, m.record)
 		}
 	}
@@ -291,11 +396,11 @@
 }
 
 // Reports returns the latest report of each router that has sent one within
-// LiveTimeout.
+// its lifetime.
 func (t *Table) Reports(now time.Time) []*Report {
 	var reports []*Report
 	for _, host := range slices.Sorted(maps.Keys(t.members)) {
-		if m := t.members[host]; m.report != nil && now.Sub(m.reportedAt) < LiveTimeout {
+		if m := t.members[host]; t.hasFreshReport(now, m) {
 			reports = append(reports, m.report)
 		}
 	}
@@ -305,41 +410,82 @@
 // SinceHeard returns how long ago a host was last heard from, or ForgetAfter if it
 // never was.
 func (t *Table) SinceHeard(now time.Time, host string) time.Duration {
-	if m := t.members[host]; m != nil && !m.heardAt.IsZero() {
-		return now.Sub(m.heardAt)
+	if m := t.members[host]; m != nil && !m.lastHeard().IsZero() {
+		return now.Sub(m.lastHeard())
 	}
 	return ForgetAfter
 }
 
+// Distance says where a router is, seen from another one.
+type Distance string
+
+// Distances between routers.
+const (
+	SameDataCentre  Distance = "same_data_centre"
+	SameRegion      Distance = "same_region"
+	OtherRegion     Distance = "other_region"
+	UnknownDistance Distance = "unknown"
+)
+
+// Distance returns where the router at a host is.
+func (t *Table) Distance(host string) Distance {
+	m := t.members[host]
+	switch {
+	case m == nil || m.record.DataCentre == "":
+		return UnknownDistance
+	case m.record.DataCentre == t.self.DataCentre:
+		return SameDataCentre
+	case m.record.Region == t.self.Region:
+		return SameRegion
+	default:
+		return OtherRegion
+	}
+}
+
 // KnownRouters returns how many other routers were heard from within recentWindow,
 // live or not, without leaving ones.
 func (t *Table) KnownRouters(now time.Time) int {
 	count := 0
 	for _, m := range t.members {
-		if !m.heardAt.IsZero() && now.Sub(m.heardAt) < recentWindow && m.record.State != Leaving {
+		if !m.lastHeard().IsZero() && now.Sub(m.lastHeard()) < recentWindow && m.record.State != Leaving {
 			count++
 		}
 	}
 	return count
 }
 
-// WatchersPerRegion is how many routers of a region watch the store on behalf of
-// all of them. One suffices while it is live; the others take over when its
-// confirmations become old.
-const WatchersPerRegion = 1
-
-// Watches reports whether this router is one of those that watch the store for
-// their region.
-func (t *Table) Watches(now time.Time) bool {
+// WatchRank returns the position of this router among the live ones of its region
+// that may watch the store on behalf of all of them: ready ones before starting ones,
+// by host. The first one watches; the others take over when its confirmations become
+// old.
+func (t *Table) WatchRank(now time.Time) int {
 	before := 0
 	for _, r := range t.Live(now) {
-		if r.Region == t.self.Region && r.State == Ready && r.Host < t.self.Host {
+		if r.Region != t.self.Region || r.Host == t.self.Host || r.State == Leaving {
+			continue
+		}
+		if r.State > t.self.State || r.State == t.self.State && r.Host < t.self.Host {
+			before++
+		}
+	}
+	return before
+}
+
+// KnownRank returns how many known routers of this one's region, live or not, come
+// before it by host.
+func (t *Table) KnownRank() int {
+	before := 0
+	for host, m := range t.members {
+		if m.record.Region == t.self.Region && host < t.self.Host {
 			before++
 		}
 	}
-	return before < WatchersPerRegion
+	return before
 }
 
+// Uptime returns the time since this router started.
+func (t *Table) Uptime(now time.Time) time.Duration { return now.Sub(t.startedAt) }
+
 // ConfirmedAge returns how long ago the store last confirmed its versions to any
 // other live router. Changes before that reach this router through that router's
 // reports.
--- a/fleet/table_test.go
+++ b/fleet/table_test.go
@@ -35,7 +35,7 @@
 	for ms := 100; ms <= 2000; ms += 100 {
 		table.Step(start.Add(time.Duration(ms) * time.Millisecond))
 	}
-	assert.Empty(t, table.Totals(start.Add(LiveTimeout)).Routers, "its loads no longer count")
+	assert.Empty(t, table.Totals(start.Add(reportLifetime)).Routers, "its loads no longer count")
 	late := start.Add(2 * time.Second)
 	assert.Equal(t, []string{"a"}, hosts(table.Live(late)))
 	assert.Contains(t, table.recipients(late), "b")
@@ -91,13 +91,13 @@
 			table.Receive(start, report(r, 1))
 		}
 	}
-	assert.True(t, a.Watches(start))
-	assert.False(t, b.Watches(start))
-	assert.True(t, c.Watches(start))
+	assert.Equal(t, 0, a.WatchRank(start))
+	assert.Equal(t, 1, b.WatchRank(start))
+	assert.Equal(t, 0, c.WatchRank(start))
 	for ms := 100; ms <= 1900; ms += 100 {
 		b.Step(start.Add(time.Duration(ms) * time.Millisecond))
 	}
-	assert.True(t, b.Watches(start.Add(1900*time.Millisecond)))
+	assert.Equal(t, 0, b.WatchRank(start.Add(1900*time.Millisecond)))
 }
 
 // A confirmation reported by another router ages from the time it was reported.
--- a/fleet/totals.go
+++ b/fleet/totals.go
@@ -11,16 +11,16 @@
 // Totals is the sum of the reports of several routers.
 type Totals struct {
 	// Routers is the number of reports in the sum.
-	Routers int `cbor:"1,keyasint,omitempty"`
+	Routers int
 	// AgeMs is the sum of the ages of the reports, network delays not included.
-	AgeMs int64 `cbor:"6,keyasint,omitempty"`
+	AgeMs int64
 	// Loads and Failing are keyed by upstream; Failing counts the routers that have
 	// ejected it.
-	Loads   map[string]placement.Load `cbor:"2,keyasint,omitempty"`
-	Failing map[string]int            `cbor:"3,keyasint,omitempty"`
+	Loads   map[string]placement.Load
+	Failing map[string]int
 	// WorkspaceTokens is keyed by workspace, Retries by service.
-	WorkspaceTokens map[string]fairshare.Tokens `cbor:"4,keyasint,omitempty"`
-	Retries         map[string]budget.Counts    `cbor:"5,keyasint,omitempty"`
+	WorkspaceTokens map[string]fairshare.Tokens
+	Retries         map[string]budget.Counts
 }
 
 // NewTotals returns empty totals.
@@ -81,3 +81,42 @@
 		t.Retries[service] = t.Retries[service].Plus(counts, 1)
 	}
 }
+
+// restrictedTo returns the totals with only the loads of the upstreams in interest,
+// or all of them if it is nil. Changing the result does not change t.
+func (t *Totals) restrictedTo(interest map[string]bool) *Totals {
+	restricted := NewTotals()
+	if interest == nil {
+		restricted.Add(t)
+		return restricted
+	}
+	withoutLoads := *t
+	withoutLoads.Loads, withoutLoads.Failing = nil, nil
+	restricted.Add(&withoutLoads)
+	for upstream := range interest {
+		if t.hasUpstream(upstream) {
+			restricted.setUpstream(t.upstreamSum(upstream))
+		}
+	}
+	return restricted
+}
+
+func (t *Totals) hasUpstream(upstream string) bool {
+	_, loaded := t.Loads[upstream]
+	return loaded || t.Failing[upstream] != 0
+}
+
+// upstreamSum returns the sums of one upstream.
+func (t *Totals) upstreamSum(upstream string) UpstreamSum {
+	load := t.Loads[upstream]
+	return UpstreamSum{
+		Upstream: upstream, WaitingTokens: load.WaitingTokens, Requests: load.Requests, MemoryTokens: load.MemoryTokens,
+		Failing: t.Failing[upstream],
+	}
+}
+
+// setUpstream replaces the sums of one upstream.
+func (t *Totals) setUpstream(sum UpstreamSum) {
+	setOrDelete(t.Loads, sum.Upstream, sum.load(), placement.Load{})
+	setOrDelete(t.Failing, sum.Upstream, sum.Failing, 0)
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,20 +26,39 @@
 	// freshWatch is the age up to which this router's own watch will deliver a
 	// change, so that there is no need to fetch it from another router.
 	freshWatch = 1600 * time.Millisecond
+	// listDelay is the time that a starting router leaves to others to find it, before
+	// it lists the store itself.
+	listDelay = 2 * fleet.ReportInterval
+	// takeoverStep is the time between the turns of two routers to list or watch the
+	// store, and maxTakeover the longest time for which one waits for its turn.
+	takeoverStep = 40 * time.Millisecond
+	maxTakeover  = time.Second
 	// maxAge is the largest reported age of the configuration and the upstreams.
 	maxAge = time.Hour
 )
 
-// Requests with which a router fetches the newest version from another one.
+// item is what a router fetches from another one.
+type item string
+
+// Items that a router can fetch.
 const (
-	requestConfig    = "config"
-	requestUpstreams = "upstreams"
+	itemConfig    item = "config"
+	itemUpstreams item = "upstreams"
 )
 
-// upstreamsResponse is the wire form of a roster.
+// fetchRequest is the wire form of a request for the newest version of an item.
+type fetchRequest struct {
+	Item item `cbor:"1,keyasint"`
+	// Since is the version that the sender holds.
+	Since int64 `cbor:"2,keyasint,omitempty"`
+}
+
+// upstreamsResponse is the wire form of a roster: what has changed since the version
+// in the request, or all upstreams.
 type upstreamsResponse struct {
 	Version   int64              `cbor:"1,keyasint"`
-	Upstreams []catalog.Upstream `cbor:"2,keyasint"`
+	Upstreams []catalog.Upstream `cbor:"2,keyasint,omitempty"`
+	Change    *versioned.Change  `cbor:"3,keyasint,omitempty"`
 }
 
 // exchange sends this router's reports to the other routers and processes theirs.
@@ -46,17 +66,24 @@
 type exchange struct {
 	transport *peer.QUIC
 	feed      *platform.Feed
-	config    *versioned.Latest[platform.Config]
-	upstreams *versioned.Latest[*versioned.Roster]
-	pools     *pools
-	logger    *log.Logger
-	reportNow chan struct{} // see triggerReport
-	ctx       context.Context
+	// dataCentre and region are those of this router.
+	dataCentre, region string
+	config             *versioned.Latest[platform.Config]
+	upstreams          *versioned.Latest[*versioned.Roster]
+	pools              *pools
+	logger             *log.Logger
+	reportNow          chan struct{} // see triggerReport
+	sentBytes          func(kind fleet.Kind, to fleet.Distance, bytes int)
+	ctx                context.Context
 
 	mu       sync.Mutex
 	table    *fleet.Table
 	live     map[string]fleet.State // by host, as of the latest logMembership
-	fetching map[string]bool        // requestConfig, requestUpstreams
+	fetching map[item]bool
+	history  versioned.History // of upstreams
+	// wholeRoster is the response with all upstreams at wholeVersion.
+	wholeRoster  []byte
+	wholeVersion int64
 }
 
 func (x *exchange) run(ctx context.Context) error {
@@ -89,7 +116,7 @@
 	x.mu.Lock()
 	x.table.Step(now)
 	report.StoreAgeMs = min(x.storeAge(now), x.table.ConfirmedAge(now), maxAge).Milliseconds()
-	messages := x.table.Messages(now, report)
+	messages := x.encode(x.table.Messages(now, report))
 	addresses := x.table.Addresses()
 	reports := x.table.Reports(now)
 	totals := x.table.Totals(now)
@@ -99,26 +126,53 @@
 
 	x.transport.SetAddresses(peerAddresses(addresses))
 	for _, m := range messages {
-		x.send(m)
+		x.transport.Send(m.to, peer.PartFleet, m.body)
 	}
 	x.pools.setRemote(now, totals, known)
+	// Of several routers with a newer version the first one is asked.
+	slices.SortStableFunc(reports, func(a, b *fleet.Report) int { return x.distanceRank(a) - x.distanceRank(b) })
 	for _, r := range reports {
 		x.fetchNewer(now, r, true)
 	}
 }
 
-func (x *exchange) send(m fleet.Message) {
-	if len(m.To) == 0 {
-		return
-	}
-	encoded, err := m.Envelope.Encode()
-	if err != nil {
-		x.logger.Error("encoding a report failed", "err", err)
-		return
+// distanceRank orders reports by how far their senders are.
+func (x *exchange) distanceRank(r *fleet.Report) int {
+	switch {
+	case r.DataCentre == x.dataCentre:
+		return 0
+	case r.Region == x.region:
+		return 1
+	default:
+		return 2
 	}
-	for _, host := range m.To {
-		x.transport.Send(host, peer.PartFleet, encoded)
+}
+
+// encodedMessage is a message to one router.
+type encodedMessage struct {
+	to   string
+	body []byte
+}
+
+// encode encodes messages, one for each recipient, and counts their bytes. The
+// caller must hold mu.
+func (x *exchange) encode(messages []fleet.Message) []encodedMessage {
+	var encoded []encodedMessage
+	for _, m := range messages {
+		if len(m.To) == 0 {
+			continue
+		}
+		body, err := m.Envelope.Encode()
+		if err != nil {
+			x.logger.Error("encoding a message failed", "kind", m.Kind, "err", err)
+			continue
+		}
+		for _, host := range m.To {
+			encoded = append(encoded, encodedMessage{host, body})
+			x.sentBytes(m.Kind, x.table.Distance(host), len(body))
+		}
 	}
+	return encoded
 }
 
 func peerAddresses(hosts map[string]uint64) map[string]peer.Address {
@@ -170,77 +224,148 @@
 
 // fetchNewer fetches newer versions from the sender of a report, unless this
 // router's own watch is about to deliver them. periodic is false for a report that
-// has just arrived.
+// has just arrived; it triggers no fetch from another region, because a router of
+// this region is likely to have the version soon.
 func (x *exchange) fetchNewer(now time.Time, r *fleet.Report, periodic bool) {
 	watching := x.storeAge(now) < freshWatch
-	if watching && !periodic {
+	if !periodic && (watching || r.Region != x.region) {
 		return
 	}
 	if r.ConfigVersion > x.config.Get().Version {
-		x.fetch(r.Host, requestConfig)
+		x.fetch(r.Host, itemConfig)
 	}
 	if r.UpstreamsVersion > x.upstreams.Get().Version && !watching {
-		x.fetch(r.Host, requestUpstreams)
+		x.fetch(r.Host, itemUpstreams)
 	}
 }
 
-// fetch fetches item, which is requestConfig or requestUpstreams, in the background
-// unless a fetch of it is in progress.
-func (x *exchange) fetch(host, item string) {
+// fetch fetches an item in the background unless a fetch of it is in progress.
+func (x *exchange) fetch(host string, what item) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.fetching[item] || x.ctx.Err() != nil {
+	if x.fetching[what] || x.ctx.Err() != nil {
 		return
 	}
-	x.fetching[item] = true
+	x.fetching[what] = true
 	go func() {
-		if err := x.fetchFrom(host, item); err != nil {
-			x.logger.Warn("fetching a newer version failed", "what", item, "host", host, "err", err)
+		if err := x.fetchFrom(host, what); err != nil {
+			x.logger.Warn("fetching a newer version failed", "what", what, "host", host, "err", err)
 		}
 		x.mu.Lock()
-		delete(x.fetching, item)
+		delete(x.fetching, what)
 		x.mu.Unlock()
 	}()
 }
 
-func (x *exchange) fetchFrom(host, item string) error {
-	ctx, cancel := context.WithTimeout(x.ctx, fetchTimeout)
-	defer cancel()
-	body, err := x.transport.Call(ctx, host, peer.PartFleet, []byte(item))
+func (x *exchange) fetchFrom(host string, what item) error {
+	if what == itemUpstreams {
+		return x.fetchUpstreams(host)
+	}
+	body, err := x.callFetch(host, fetchRequest{Item: what})
 	if err != nil {
 		return err
 	}
-	if item == requestConfig {
-		return x.feed.UpdateConfig(time.Now(), body, versioned.Peer)
+	return x.feed.UpdateConfig(time.Now(), body, versioned.Peer)
+}
+
+// fetchUpstreams fetches what has changed since this router's roster, and the whole
+// roster if that does not fit.
+func (x *exchange) fetchUpstreams(host string) error {
+	current := x.upstreams.Get()
+	response, err := x.callFetchUpstreams(host, current.Version)
+	if err != nil {
+		return err
 	}
-	var response upstreamsResponse
-	if err := cbor.Unmarshal(body, &response); err != nil {
-		return eris.Wrap(fleet.ErrMessage, err.Error())
+	if response.Change != nil && current.Value != nil {
+		changed, err := current.Value.Apply(*response.Change)
+		if err == nil {
+			x.feed.UpdateUpstreams(time.Now(), changed, response.Version, versioned.Peer)
+			return nil
+		}
+		x.logger.Warn("applying changed upstreams failed, fetching all", "host", host, "since", current.Version, "version", response.Version, "err", err)
+		if response, err = x.callFetchUpstreams(host, 0); err != nil {
+			return err
+		}
 	}
 	x.feed.UpdateUpstreams(time.Now(), versioned.NewRoster(response.Upstreams), response.Version, versioned.Peer)
 	return nil
 }
 
+func (x *exchange) callFetchUpstreams(host string, since int64) (upstreamsResponse, error) {
+	var response upstreamsResponse
+	body, err := x.callFetch(host, fetchRequest{Item: itemUpstreams, Since: since})
+	if err != nil {
+		return response, err
+	}
+	if err := cbor.Unmarshal(body, &response); err != nil {
+		return response, eris.Wrap(fleet.ErrMessage, err.Error())
+	}
+	if response.Change == nil && len(response.Upstreams) == 0 {
+		return response, eris.Wrap(fleet.ErrMessage, "response has no upstreams")
+	}
+	return response, nil
+}
+
+func (x *exchange) callFetch(host string, request fetchRequest) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(x.ctx, fetchTimeout)
+	defer cancel()
+	encoded, err := cbor.Marshal(request)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode fetch request")
+	}
+	return x.transport.Call(ctx, host, peer.PartFleet, encoded)
+}
+
 // serveFetch answers other routers that fetch a newer version.
-func (x *exchange) serveFetch(_ context.Context, _ string, request []byte) ([]byte, error) {
-	switch string(request) {
-	case requestConfig:
+func (x *exchange) serveFetch(_ context.Context, _ string, body []byte) ([]byte, error) {
+	var request fetchRequest
+	if err := cbor.Unmarshal(body, &request); err != nil {
+		return nil, eris.Wrap(fleet.ErrMessage, err.Error())
+	}
+	switch request.Item {
+	case itemConfig:
 		current := x.config.Get()
 		if current.Version == 0 {
 			return nil, eris.New("no configuration known")
 		}
 		return current.Value.Spec, nil
-	case requestUpstreams:
-		current := x.upstreams.Get()
-		if current.Value == nil {
-			return nil, eris.New("no upstreams known")
-		}
-		return cbor.Marshal(upstreamsResponse{Version: current.Version, Upstreams: current.Value.All()})
+	case itemUpstreams:
+		return x.upstreamsResponse(request.Since)
 	default:
-		return nil, eris.Errorf("request %q is not known", request)
+		return nil, eris.Errorf("item %q is not known", request.Item)
 	}
 }
 
+// upstreamsResponse returns the encoded changes of the upstreams since a version, or
+// all upstreams if the history does not go back that far. The latter are encoded
+// once, as a starting fleet fetches them from a few routers.
+func (x *exchange) upstreamsResponse(since int64) ([]byte, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	roster, version := x.history.Latest()
+	if roster == nil {
+		return nil, eris.New("no upstreams known")
+	}
+	if change, ok := x.history.Since(since); ok {
+		return cbor.Marshal(upstreamsResponse{Version: version, Change: &change})
+	}
+	if x.wholeVersion != version {
+		encoded, err := cbor.Marshal(upstreamsResponse{Version: version, Upstreams: roster.All()})
+		if err != nil {
+			return nil, eris.Wrap(err, "encode upstreams")
+		}
+		x.wholeRoster, x.wholeVersion = encoded, version
+	}
+	return x.wholeRoster, nil
+}
+
+// remember keeps a roster for upstreamsResponse.
+func (x *exchange) remember(roster versioned.Snapshot[*versioned.Roster]) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.history.Record(roster.Value, roster.Version)
+}
+
 // StoreUnreachable implements platform.Watcher.
 func (x *exchange) StoreUnreachable() bool {
 	now := time.Now()
@@ -249,12 +374,22 @@
 	return min(x.table.ConfirmedAge(now), x.storeAge(now)) > staleAfter
 }
 
-// Watches implements platform.Watcher.
+// Watches implements platform.Watcher. A router without a configuration or upstreams
+// lists them itself only if no other one does so before its turn: the lists of a large
+// fleet that starts at once take the store many seconds.
 func (x *exchange) Watches() bool {
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.table.Watches(now) || x.table.ConfirmedAge(now) > staleAfter
+	if x.config.Get().Version == 0 || x.upstreams.Get().Value == nil {
+		return x.table.Uptime(now) >= listDelay+time.Duration(x.table.KnownRank())*takeoverStep
+	}
+	rank := x.table.WatchRank(now)
+	if rank == 0 {
+		return true
+	}
+	takeover := staleAfter + min(time.Duration(rank-1)*takeoverStep, maxTakeover)
+	return x.table.ConfirmedAge(now) > takeover
 }
 
 func (x *exchange) setState(s fleet.State) {
--- /dev/null
+++ b/gateway/exchange_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/versioned"
+)
+
+// largeRoster returns a roster of 3,000 upstreams, the first of which are leaving.
+func largeRoster(leaving int) *versioned.Roster {
+	upstreams := make([]catalog.Upstream, 3000)
+	for i := range upstreams {
+		upstreams[i] = catalog.Upstream{ID: fmt.Sprintf("i-%08x", i), Service: "s", Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Slots: 16, Draining: i < leaving}
+	}
+	return versioned.NewRoster(upstreams)
+}
+
+// A router that is a few versions behind must not fetch the whole roster: with 3,000
+// upstreams it has 200 KB, and 300 routers fetched it at each change.
+func TestFetchOfUpstreamsCarriesChangesOnly(t *testing.T) {
+	now := time.Unix(1000, 0)
+	x := &exchange{}
+	for version := int64(1); version <= 5; version++ {
+		x.remember(versioned.Snapshot[*versioned.Roster]{Value: largeRoster(int(version)), Version: version, ReceivedAt: now})
+	}
+	for _, test := range []struct {
+		since    int64
+		maxBytes int
+	}{{0, 300_000}, {2, 500}, {5, 50}, {99, 300_000}} {
+		encoded, err := x.upstreamsResponse(test.since)
+		require.NoError(t, err)
+		assert.LessOrEqual(t, len(encoded), test.maxBytes, "since %d", test.since)
+		var response upstreamsResponse
+		require.NoError(t, cbor.Unmarshal(encoded, &response))
+		assert.Equal(t, int64(5), response.Version)
+		if response.Change == nil {
+			assert.Len(t, response.Upstreams, 3000, "since %d", test.since)
+			continue
+		}
+		applied, err := largeRoster(int(test.since)).Apply(*response.Change)
+		require.NoError(t, err)
+		assert.Equal(t, largeRoster(5).All(), applied.All())
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,13 +102,14 @@
 	location := placement.Location{DataCentre: s.DataCentre, Region: s.Region}
 	retryLimits := budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 	g.pools = newPools(location, s.Regions, retryLimits, s.Bounds.ShareWindow, now)
-	if err := g.buildExchange(now); err != nil {
+	metrics := newRequestMetrics()
+	if err := g.buildExchange(now, metrics); err != nil {
 		return nil, err
 	}
 	g.feed = platform.NewFeed(g.store, g.config, g.upstreams, g.exchange, logger.WithPrefix("store"))
 	g.exchange.feed = g.feed
 	g.handler = &Handler{
-		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: newRequestMetrics(),
+		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: metrics,
 		stopState: g.state, requestArrived: g.requestArrived,
 		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
 	}
@@ -126,7 +127,7 @@
 	m.gauge("lacewing_routers_ready", func() float64 { return float64(len(g.exchange.ready())) })
 }
 
-func (g *Gateway) buildExchange(now time.Time) error {
+func (g *Gateway) buildExchange(now time.Time, metrics *requestMetrics) error {
 	s := g.settings
 	socket, err := net.ListenPacket("udp", s.PeerAddress)
 	if err != nil {
@@ -143,8 +144,8 @@
 	g.transport = peer.NewQUIC(s.PeerAddress, identity, event.NewClock(nil), socket)
 	g.exchange = &exchange{
 		transport: g.transport, config: g.config, upstreams: g.upstreams, pools: g.pools,
-		logger: g.logger.WithPrefix("fleet"), reportNow: make(chan struct{}, 1),
-		table: fleet.NewTable(self, s.SeedAddresses, now), live: map[string]fleet.State{}, fetching: map[string]bool{},
+		dataCentre: s.DataCentre, region: s.Region, logger: g.logger.WithPrefix("fleet"), reportNow: make(chan struct{}, 1), sentBytes: metrics.sentToRouter,
+		table: fleet.NewTable(self, s.SeedAddresses, now), live: map[string]fleet.State{}, fetching: map[item]bool{},
 	}
 	g.transport.Handle(peer.PartFleet, peer.Handler{OnMessage: g.exchange.receive, OnRequest: g.exchange.serveFetch})
 	return nil
@@ -308,6 +309,7 @@
 		configChanged, upstreamsChanged := g.config.Changed(), g.upstreams.Changed()
 		config, upstreams := g.config.Get(), g.upstreams.Get()
 		if config.Version > 0 && upstreams.Value != nil {
+			g.exchange.remember(upstreams)
 			g.pools.configure(config.Value.Table, upstreams.Value.Service)
 			g.configured.Store(true)
 			if g.state() == shutdown.Serving {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/fleet"
 )
 
 // requestMetrics holds the metrics of requests.
@@ -78,6 +79,11 @@
 	m.firstByte[c.route.Kind].Update(c.firstByte.Seconds())
 }
 
+// sentToRouter counts the bytes of a message to another router.
+func (m *requestMetrics) sentToRouter(kind fleet.Kind, to fleet.Distance, bytes int) {
+	m.set.GetOrCreateCounter(`lacewing_fleet_sent_bytes_total{kind="` + string(kind) + `",to="` + string(to) + `"}`).Add(bytes)
+}
+
 // gauge registers a value that is read when the metrics are served.
 func (m *requestMetrics) gauge(name string, value func() float64) { m.set.NewGauge(name, value) }
 
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -98,6 +98,7 @@
 	for _, pool := range p.plainPools {
 		r.Loads = append(r.Loads, pool.Loads(now)...)
 	}
+	r.Interest = p.interest(now)
 	r.WorkspaceTokens = p.meter.Sums(now)
 	r.Retries = make(map[string]budget.Counts, len(p.retryBudgets))
 	for service, w := range p.retryBudgets {
@@ -107,6 +108,24 @@
 	}
 }
 
+// interest returns the upstreams whose loads this router needs to know, nil for all.
+func (p *pools) interest(now time.Time) *fleet.Interest {
+	var needed []string
+	all := true
+	for _, pool := range p.enginePools {
+		ids, allOfPool := pool.Interest(now)
+		needed, all = append(needed, ids...), all && allOfPool
+	}
+	for _, pool := range p.plainPools {
+		ids, allOfPool := pool.Interest()
+		needed, all = append(needed, ids...), all && allOfPool
+	}
+	if all {
+		return nil
+	}
+	return &fleet.Interest{Upstreams: needed}
+}
+
 // setRemote sets the sums over the other routers.
 func (p *pools) setRemote(now time.Time, totals *fleet.Totals, knownRouters int) {
 	p.mu.Lock()
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -98,7 +98,8 @@
 	engine    catalog.Engine // slots and memory of each engine
 	engines   map[string]*engine
 	order     []*engine
-	priorRate float64 // assumed read rate before samples, in tokens per ms
+	near      []*engine // considered for every request
+	priorRate float64   // assumed read rate before samples, in tokens per ms
 	rng       *rand.Rand
 }
 
@@ -109,12 +110,14 @@
 	meanGapMs    float64              // EWMA of the gaps between events in ms
 	gapSampledAt time.Time            // time of the latest sample in meanGapMs
 	partLastUsed map[uint64]time.Time // last use by prefix hash
+	near         bool                 // in EnginePool.near
+	homeUsedAt   time.Time            // when it was last among the homes of a prompt
 }
 
 // NewEnginePool returns a pool without engines.
 func NewEnginePool(policy EnginePolicy, location Location, regions map[string]string, seed uint64) *EnginePool {
 	return &EnginePool{
-		upstreamSet: upstreamSet{location: location, regions: regions}, policy: policy, engines: map[string]*engine{},
+		upstreamSet: upstreamSet{location: location, regions: regions, seed: seed}, policy: policy, engines: map[string]*engine{},
 		rng: rand.New(rand.NewPCG(seed, 0)),
 	}
 }
@@ -128,6 +131,13 @@
 	p.engines, p.order = updateUpstreams(&p.upstreamSet, p.engines, upstreams, func() *engine {
 		return &engine{partLastUsed: map[uint64]time.Time{}}
 	})
+	p.near = nearby(&p.upstreamSet, p.order)
+	for _, e := range p.order {
+		e.near = false
+	}
+	for _, e := range p.near {
+		e.near = true
+	}
 }
 
 // candidate is an engine with its estimates for one request.
@@ -148,17 +158,18 @@
 		return Decision{Reason: OverShare, RetryAfter: Jitter(MinRetryAfter, p.rng.Float64())}
 	}
 	hashes := prefixHashes(r.Parts)
-	ranks := p.ranks(hashes)
-	panicking := p.panicMode(now)
+	homes := p.homes(hashes)
+	candidates := p.candidates(now, homes)
+	panicking := panicMode(now, candidates)
 	maxWait := p.maxWait(r)
 	var best, shortest *candidate
 	usable := false
-	for _, e := range p.order {
+	for _, e := range candidates {
 		if e.excluded(r.Exclude) || !panicking && !e.usable(now) {
 			continue
 		}
 		usable = true
-		c := p.evaluate(now, e, r, hashes, ranks)
+		c := p.evaluate(now, e, r, hashes, rank(homes, e))
 		if shortest == nil || c.queueWait < shortest.queueWait {
 			shortest = &c
 		}
@@ -215,8 +226,7 @@
 }
 
 // evaluate estimates the wait and the cost of the request at an engine.
-func (p *EnginePool) evaluate(now time.Time, e *engine, r EngineRequest, hashes []uint64, ranks map[*engine]int) candidate {
-	rank := ranks[e]
+func (p *EnginePool) evaluate(now time.Time, e *engine, r EngineRequest, hashes []uint64, rank int) candidate {
 	cachedParts := e.cachedParts(now, hashes, len(hashes) > 1 && rank == 0)
 	readTokens, reread := 0, 0
 	for i, part := range r.Parts[cachedParts:] {
--- a/placement/member.go
+++ b/placement/member.go
@@ -1,21 +1,34 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/lacewingshift/lacewingshift/catalog"
 )
 
 // upstreamState is the state that engines and plain upstreams have in common.
 type upstreamState struct {
 	upstream  catalog.Upstream
+	idHash    uint64
 	own       Load // of this router
 	remote    Load // of the other routers together
 	ejectedBy int  // other routers that have ejected it
 	health    health
 }
 
+// maxCandidates is the number of upstreams of a service up to which every one is
+// considered for each request. The work for a request and the loads that a router
+// needs to know would otherwise grow with the fleet.
+const maxCandidates = 160
+
+// nearbyShares is the number of upstreams in the router's data centre, in its region
+// and elsewhere that it considers for each request to a larger service.
+var nearbyShares = [...]int{48, 24, 24}
+
 // ejectionQuorum is how many other routers must have ejected an upstream before
 // this router avoids it too. A single report may be caused by that router's own
 // network path.
@@ -57,6 +70,7 @@
 	regions          map[string]string // region by data centre
 	byID             map[string]*upstreamState
 	ordered          []*upstreamState // in the order given by SetUpstreams
+	seed             uint64           // of this router, for its choice of nearby upstreams
 	baselineFailures float64          // EWMA of the failure ratio of the service
 }
 
@@ -73,7 +87,7 @@
 			state = fresh()
 		}
 		common := state.base()
-		common.upstream = u
+		common.upstream, common.idHash = u, xxhash.Sum64String(u.ID)
 		current[u.ID] = state
 		order = append(order, state)
 		set.byID[u.ID] = common
@@ -112,16 +126,49 @@
 	return state
 }
 
-// panicMode reports whether more than half of the upstreams are unusable. All are
-// then used again: either the cause lies elsewhere or there is nothing better.
-func (set *upstreamSet) panicMode(now time.Time) bool {
+// panicMode reports whether more than half of the candidates for a request are
+// unusable. All are then used again: either the cause lies elsewhere or there is
+// nothing better.
+func panicMode[S interface{ base() *upstreamState }](now time.Time, candidates []S) bool {
 	failing := 0
-	for _, state := range set.byID {
-		if !state.usable(now) {
+	for _, state := range candidates {
+		if !state.base().usable(now) {
 			failing++
 		}
 	}
-	return 2*failing > len(set.byID)
+	return 2*failing > len(candidates)
+}
+
+// nearby returns the upstreams that this router considers for every request: all of
+// a small service, and of a large one some of each distance, those in its own data
+// centre first. Routers choose different ones, so that together they use all.
+func nearby[S interface{ base() *upstreamState }](set *upstreamSet, all []S) []S {
+	if len(all) <= maxCandidates {
+		return all
+	}
+	var near, region, far []S
+	for _, state := range all {
+		upstream := state.base().upstream
+		switch {
+		case upstream.Draining:
+		case upstream.DataCentre == set.location.DataCentre:
+			near = append(near, state)
+		case set.regions[upstream.DataCentre] == set.location.Region:
+			region = append(region, state)
+		default:
+			far = append(far, state)
+		}
+	}
+	var chosen []S
+	wanted := 0
+	for i, group := range [][]S{near, region, far} {
+		slices.SortFunc(group, func(a, b S) int {
+			return cmp.Compare(rendezvous(set.seed, b.base().idHash), rendezvous(set.seed, a.base().idHash))
+		})
+		wanted += nearbyShares[i]
+		chosen = append(chosen, group[:min(len(group), wanted-len(chosen))]...)
+	}
+	return chosen
 }
 
 // distancePenalty returns the penalty in ms for an upstream in another data centre
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -26,29 +25,77 @@
 	return hashes
 }
 
-// ranks returns the position of each engine in the preference order for a prompt,
-// which is the same at all routers. The first one, with rank 0, is the home engine
-// of the prompt. The order is that of rendezvous hashing by the longest prefix that
-// other prompts share, which is everything before the last part.
-func (p *EnginePool) ranks(hashes []uint64) map[*engine]int {
+// maxHomes is the number of engines in the preference order of a prompt that are
+// considered for it. Only the first two are preferred to others.
+const maxHomes = 4
+
+// homes returns the first engines in the preference order for a prompt, which is the
+// same at all routers. The first one, with rank 0, is the home engine of the prompt.
+// The order is that of rendezvous hashing by the longest prefix that other prompts
+// share, which is everything before the last part.
+func (p *EnginePool) homes(hashes []uint64) []*engine {
 	if len(hashes) < 2 {
 		return nil
 	}
 	shared := hashes[len(hashes)-2]
-	order := make([]*engine, 0, len(p.order))
+	homes := make([]*engine, 0, maxHomes+1)
+	weights := make([]uint64, 0, maxHomes+1)
 	for _, e := range p.order {
-		if !e.upstream.Draining {
-			order = append(order, e)
+		if e.upstream.Draining {
+			continue
+		}
+		weight := rendezvous(shared, e.idHash)
+		if len(homes) == maxHomes && weight <= weights[maxHomes-1] {
+			continue
+		}
+		at := len(homes)
+		for at > 0 && weights[at-1] < weight {
+			at--
+		}
+		homes, weights = slices.Insert(homes, at, e), slices.Insert(weights, at, weight)
+		homes, weights = homes[:min(len(homes), maxHomes)], weights[:min(len(weights), maxHomes)]
+	}
+	return homes
+}
+
+// rank returns the position of an engine among the homes of a prompt, or maxHomes if
+// it is none of them. Without homes all engines have rank 0.
+func rank(homes []*engine, e *engine) int {
+	if homes == nil {
+		return 0
+	}
+	if i := slices.Index(homes, e); i >= 0 {
+		return i
+	}
+	return maxHomes
+}
+
+// candidates returns the engines that are considered for a prompt with the given
+// homes.
+func (p *EnginePool) candidates(now time.Time, homes []*engine) []*engine {
+	if len(p.near) == len(p.order) {
+		return p.near
+	}
+	candidates := make([]*engine, 0, len(p.near)+len(homes))
+	candidates = append(candidates, p.near...)
+	for _, e := range homes {
+		e.homeUsedAt = now
+		if !e.near {
+			candidates = append(candidates, e)
 		}
 	}
-	slices.SortFunc(order, func(a, b *engine) int {
-		return cmp.Compare(rendezvous(shared, b.upstream.ID), rendezvous(shared, a.upstream.ID))
-	})
-	ranks := make(map[*engine]int, len(order))
-	for i, e := range order {
-		ranks[e] = i
+	return candidates
+}
+
+// Interest returns the ids of the engines whose loads this router needs to know, and
+// whether these are all of them.
+func (p *EnginePool) Interest(now time.Time) (ids []string, all bool) {
+	for _, e := range p.order {
+		if e.near || !e.homeUsedAt.IsZero() && now.Sub(e.homeUsedAt) < partTTL {
+			ids = append(ids, e.upstream.ID)
+		}
 	}
-	return ranks
+	return ids, len(p.near) == len(p.order)
 }
 
 // cachedParts returns how many of the prompt's parts an engine is assumed to have
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -4,6 +4,7 @@
 package placement
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -14,15 +15,16 @@
 // Load is the work that one router has in progress at one upstream. Routers
 // exchange their loads, so that each one decides by the load of the whole fleet.
 type Load struct {
-	Upstream string `cbor:"1,keyasint,omitempty"`
+	_        struct{} `cbor:",toarray"`
+	Upstream string
 	// WaitingTokens counts the prompt tokens of requests before their first event.
-	WaitingTokens int `cbor:"2,keyasint,omitempty"`
+	WaitingTokens int
 	// Requests counts requests that were sent and have not ended; MemoryTokens
 	// counts the tokens that they occupy.
-	Requests     int `cbor:"3,keyasint,omitempty"`
-	MemoryTokens int `cbor:"4,keyasint,omitempty"`
+	Requests     int
+	MemoryTokens int
 	// Failing reports that this router has ejected the upstream.
-	Failing bool `cbor:"5,keyasint,omitempty"`
+	Failing bool
 }
 
 // Plus returns the sum of l and factor times other.
@@ -66,17 +68,13 @@
 // Refused reports whether the request was given no upstream.
 func (d Decision) Refused() bool { return d.Upstream.ID == "" }
 
-// rendezvous returns the rendezvous-hashing weight of an upstream for a key. It is
-// the same at all routers.
-func rendezvous(key uint64, upstream string) uint64 {
-	var buffer [8]byte
-	for i := range buffer {
-		buffer[i] = byte(key >> (8 * i))
-	}
-	digest := xxhash.New()
-	_, _ = digest.Write(buffer[:])
-	_, _ = digest.WriteString(upstream)
-	return digest.Sum64()
+// rendezvous returns the rendezvous-hashing weight for a key of the upstream whose
+// id has the given hash. It is the same at all routers.
+func rendezvous(key, idHash uint64) uint64 {
+	var buffer [16]byte
+	binary.LittleEndian.PutUint64(buffer[:8], key)
+	binary.LittleEndian.PutUint64(buffer[8:], idHash)
+	return xxhash.Sum64(buffer[:])
 }
 
 // ewma moves average towards sample by weight.
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -44,7 +44,8 @@
 	policy PlainPolicy
 	states map[string]*plainUpstream
 	order  []*plainUpstream
-	time   float64 // EWMA of the response times of all upstreams in ms
+	near   []*plainUpstream // considered for every request
+	time   float64          // EWMA of the response times of all upstreams in ms
 	rng    *rand.Rand
 }
 
@@ -57,7 +58,7 @@
 // NewPlainPool returns a pool without upstreams.
 func NewPlainPool(policy PlainPolicy, location Location, regions map[string]string, seed uint64) *PlainPool {
 	return &PlainPool{
-		upstreamSet: upstreamSet{location: location, regions: regions}, policy: policy, states: map[string]*plainUpstream{},
+		upstreamSet: upstreamSet{location: location, regions: regions, seed: seed}, policy: policy, states: map[string]*plainUpstream{},
 		time: milliseconds(priorTime), rng: rand.New(rand.NewPCG(seed, 1)),
 	}
 }
@@ -65,15 +66,25 @@
 // SetUpstreams replaces the upstreams. Instances that remain keep their state.
 func (p *PlainPool) SetUpstreams(upstreams []catalog.Upstream) {
 	p.states, p.order = updateUpstreams(&p.upstreamSet, p.states, upstreams, func() *plainUpstream { return &plainUpstream{} })
+	p.near = nearby(&p.upstreamSet, p.order)
+}
+
+// Interest returns the ids of the upstreams whose loads this router needs to know,
+// and whether these are all of them.
+func (p *PlainPool) Interest() (ids []string, all bool) {
+	for _, s := range p.near {
+		ids = append(ids, s.upstream.ID)
+	}
+	return ids, len(p.near) == len(p.order)
 }
 
 // Place chooses the upstream with the lowest predicted response time, adjusted for
 // distance and failures.
 func (p *PlainPool) Place(now time.Time, r PlainRequest) Decision {
-	panicking := p.panicMode(now)
+	panicking := panicMode(now, p.near)
 	var best *plainUpstream
 	var bestCost, bestTimeMs float64
-	for _, s := range p.order {
+	for _, s := range p.near {
 		if s.excluded(r.Exclude) || !panicking && !s.usable(now) {
 			continue
 		}
--- a/versioned/roster.go
+++ b/versioned/roster.go
@@ -1,10 +1,15 @@
 package versioned
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
 	"github.com/lacewingshift/lacewingshift/catalog"
 )
 
@@ -52,6 +57,73 @@
 	return u, ok
 }
 
+// Change is the difference between two rosters.
+type Change struct {
+	// Put holds the upstreams that were added or changed, Removed the ids of those
+	// that were removed.
+	Put     []catalog.Upstream `cbor:"1,keyasint,omitempty"`
+	Removed []string           `cbor:"2,keyasint,omitempty"`
+	// Checksum is that of the newer roster.
+	Checksum uint64 `cbor:"3,keyasint"`
+}
+
+// ErrChecksum reports that a change was made from another roster than the one it is
+// applied to.
+var ErrChecksum = eris.New("roster differs from the one that the change was made from")
+
+// ChangeSince returns what has changed since an older roster.
+func (r *Roster) ChangeSince(older *Roster) Change {
+	c := Change{Checksum: r.Checksum()}
+	for id, u := range r.byID {
+		if before, known := older.byID[id]; !known || before != u {
+			c.Put = append(c.Put, u)
+		}
+	}
+	for id := range older.byID {
+		if _, known := r.byID[id]; !known {
+			c.Removed = append(c.Removed, id)
+		}
+	}
+	return c
+}
+
+// Apply returns the roster after a change. Errors: ErrChecksum.
+func (r *Roster) Apply(c Change) (*Roster, error) {
+	byID := maps.Clone(r.byID)
+	for _, u := range c.Put {
+		byID[u.ID] = u
+	}
+	for _, id := range c.Removed {
+		delete(byID, id)
+	}
+	changed := NewRoster(slices.Collect(maps.Values(byID)))
+	if changed.Checksum() != c.Checksum {
+		return nil, ErrChecksum
+	}
+	return changed, nil
+}
+
+// Checksum returns a hash of the upstreams that does not depend on their order.
+func (r *Roster) Checksum() uint64 {
+	sum := uint64(len(r.byID))
+	for _, u := range r.byID {
+		sum += hash(u)
+	}
+	return sum
+}
+
+// hash returns a hash of all fields of an upstream.
+func hash(u catalog.Upstream) uint64 {
+	buffer := make([]byte, 0, 128)
+	for _, text := range []string{u.ID, u.Service, u.Address, u.DataCentre} {
+		buffer = append(append(buffer, text...), 0)
+	}
+	for _, number := range []int64{int64(u.Slots), u.StartedMs, u.Revision} {
+		buffer = binary.LittleEndian.AppendUint64(buffer, uint64(number))
+	}
+	return xxhash.Sum64(strconv.AppendBool(buffer, u.Draining))
+}
+
 // Registry tracks the store's upstream entries. After an outage, in which entries
 // expire because upstreams could not renew them, it keeps the missing ones for a
 // grace period. It does no I/O and is not safe for concurrent use.
@@ -108,24 +180,36 @@
 	}
 }
 
-// Put adds or updates an entry.
-func (r *Registry) Put(now time.Time, u catalog.Upstream) {
+// Put adds or updates an entry and reports whether that changes the roster. An entry
+// of which only the revision differs is not updated, because every router would have
+// to learn of it.
+func (r *Registry) Put(now time.Time, u catalog.Upstream) (changed bool) {
 	r.StoreAnswered(now)
+	if old, known := r.entries[u.ID]; known {
+		unchanged := u
+		unchanged.Revision = old.Revision
+		if unchanged == old {
+			return false
+		}
+	}
 	delete(r.missing, u.ID)
 	r.entries[u.ID] = u
+	return true
 }
 
 // Remove deletes an entry, or moves it to the missing ones during the grace period.
-func (r *Registry) Remove(now time.Time, id string) {
+// It reports whether there was an entry.
+func (r *Registry) Remove(now time.Time, id string) (changed bool) {
 	r.StoreAnswered(now)
 	u, ok := r.entries[id]
 	if !ok {
-		return
+		return false
 	}
 	delete(r.entries, id)
 	if r.inGracePeriod(now) && !u.Draining {
 		r.missing[id] = u
 	}
+	return true
 }
 
 // inGracePeriod reports whether the store has recovered less than MissingGrace ago.
