gateway: a late second answer reaches no caller and fails no order

Cause: an answer without a request id was taken for the answer to whatever request was in progress on the connection. The second copy of an answer, sent when the connection was in use again, reached the next caller; with the id of the old request it was detected, but the next request, which had run, ended with 502.

Change: the id of an answer must be that of the request. Requests that must not be repeated use each connection once; a connection that was idle may also have been closed by the upstream, which leaves the same doubt.

Ruled out: reading on past the foreign answer, which net/http does not offer. Cost: one new connection for each such request; they rarely found an idle one before, as these were kept for one second.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"maps"
@@ -18,18 +19,38 @@
 
 // Behaviours of a runner.
 const (
-	Healthy        Behaviour = iota
-	Failing                  // responds with 500
-	Shedding                 // responds with 503 and does not run the request
-	Hanging                  // accepts requests and never responds
-	Truncating               // breaks off every response in the middle
-	Unsealed                 // responds without a seal
-	Misdirected              // responds that it is another instance
-	WrongRequestID           // responds with the id of another request
-	EndlessHead              // sends a response head without end
-	EndlessBody              // sends a body without end and, in a stream, without events
+	Healthy         Behaviour = iota
+	Failing                   // responds with 500
+	Shedding                  // responds with 503 and does not run the request
+	Hanging                   // accepts requests and never responds
+	Truncating                // breaks off every response in the middle
+	Unsealed                  // responds without a seal
+	Misdirected               // responds that it is another instance
+	WrongRequestID            // responds with the id of another request
+	EndlessHead               // sends a response head without end
+	EndlessBody               // sends a body without end and, in a stream, without events
+	RepeatedAnswer            // sends a plain answer again when the next request arrives on its connection
+	AnonymousRepeat           // as RepeatedAnswer, without a request id in the second copy
+	Dripping                  // sends a comment line now and then in place of events
+	SlowStream                // pauses for SlowPause in the middle of a stream
 )
 
+// SlowPause is the pause in a SlowStream. DripInterval is the time between two
+// comment lines of a Dripping runner.
+const (
+	SlowPause    = 1800 * time.Millisecond
+	DripInterval = 300 * time.Millisecond
+)
+
+// connectionKey is the context key of a caller's connection.
+type connectionKey struct{}
+
+// runnerConnection is a connection with the latest answer that was sent on it.
+type runnerConnection struct {
+	net.Conn
+	answer string // whole, with its headers; empty before the first one
+}
+
 // Runner is a model engine or an instance of a plain service. It is safe for
 // concurrent use.
 type Runner struct {
@@ -84,7 +105,9 @@
 		r.Slots = defaultSlots
 	}
 	r.slotSemaphore = make(chan struct{}, r.Slots)
-	r.server = &http.Server{Handler: r}
+	r.server = &http.Server{Handler: r, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, &runnerConnection{Conn: c})
+	}}
 	go func() { _ = r.server.Serve(listener) }() // ends with Close
 	r.register()
 	return r, nil
@@ -195,6 +218,9 @@
 	if b != Unsealed {
 		w.Header().Set("Response-Seal", "seal-"+r.ID)
 	}
+	if b == RepeatedAnswer || b == AnonymousRepeat {
+		r.repeatAnswer(request, b)
+	}
 	if b == Failing {
 		r.work(request, r.WorkTime)
 		w.WriteHeader(http.StatusInternalServerError)
@@ -211,6 +237,23 @@
 	r.plain(w, request, b)
 }
 
+// repeatAnswer sends the previous answer of the connection once more, and stores the
+// one that the request will get.
+func (r *Runner) repeatAnswer(request *http.Request, b Behaviour) {
+	connection, ok := request.Context().Value(connectionKey{}).(*runnerConnection)
+	if !ok {
+		panic("request without a connection") // a bug in this package
+	}
+	_, _ = io.WriteString(connection, connection.answer) // an error means that the caller has disconnected
+	id := request.Header.Get("Request-Id")
+	body := PlainBody(id)
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nResponse-Seal: seal-%s\r\nContent-Length: %d\r\n", r.ID, len(body))
+	if b == RepeatedAnswer {
+		head += "Request-Id: " + id + "\r\n"
+	}
+	connection.answer = head + "\r\n" + body
+}
+
 // endlessChunk and endlessInterval are how a runner sends bytes without end: fast
 // enough to pass each limit within a second, without filling the processor.
 const (
@@ -359,6 +402,13 @@
 			_ = controller.Flush()
 			panic(http.ErrAbortHandler)
 		}
+		if b == Dripping && i > r.Events/2 {
+			r.drip(w, request)
+			return
+		}
+		if b == SlowStream && i == r.Events/2 && !r.work(request, SlowPause) {
+			return
+		}
 		if _, err := w.Write([]byte(event)); err != nil {
 			return
 		}
@@ -368,3 +418,14 @@
 		}
 	}
 }
+
+// drip sends comment lines until the caller closes the connection.
+func (r *Runner) drip(w http.ResponseWriter, request *http.Request) {
+	controller := http.NewResponseController(w)
+	for r.work(request, DripInterval) {
+		if _, err := io.WriteString(w, ": still here\n\n"); err != nil {
+			return
+		}
+		_ = controller.Flush()
+	}
+}
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -18,10 +18,6 @@
 	// idle connection, so that no request is sent on a connection that the upstream
 	// is closing.
 	idleTimeoutMargin = time.Second
-	// freshIdleTimeout is the idle timeout of connections for requests that must
-	// not be retried. If the upstream has closed such a connection, it is unknown
-	// whether the request ran.
-	freshIdleTimeout = time.Second
 	// maxIdleRatio is the fraction of an upstream's connection limit that all routers
 	// together may keep idle, which leaves room for new connections.
 	maxIdleRatio = 0.5
@@ -38,7 +34,10 @@
 	mu          sync.Mutex
 	idleTimeout time.Duration   // of reusable
 	reusable    *http.Transport // for requests that may be retried
-	fresh       *http.Transport // for requests that must not be retried
+	// fresh uses each connection once, for requests that must not be retried: an
+	// upstream may have closed an idle connection, or send a second copy of the
+	// answer before on it, and it is then unknown whether the request ran.
+	fresh *http.Transport
 }
 
 // newConnections returns the connections to upstreams that each accept limit
@@ -48,9 +47,10 @@
 	if limit > 0 {
 		maxIdle = max(int(maxIdleRatio*float64(limit))/max(routers, 1), 1)
 	}
+	fresh := newTransport(defaultIdleTimeout, maxIdle)
+	fresh.DisableKeepAlives = true
 	return &connections{
-		maxIdle: maxIdle, idleTimeout: defaultIdleTimeout,
-		reusable: newTransport(defaultIdleTimeout, maxIdle), fresh: newTransport(freshIdleTimeout, maxIdle),
+		maxIdle: maxIdle, idleTimeout: defaultIdleTimeout, reusable: newTransport(defaultIdleTimeout, maxIdle), fresh: fresh,
 	}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -216,7 +216,7 @@
 	c.status = response.StatusCode
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
-	case headers.RequestID != "" && headers.RequestID != c.headers.ID:
+	case headers.RequestID != c.headers.ID:
 		return result{maybeRan, placement.Failed, "answer belongs to another request"}
 	case headers.NotRun:
 		return result{notRun, placement.Rejected, "upstream did not run the request"}
