gateway: move a stalled stream, and only to an upstream that can take it

Cause: any byte restarted the time limit of a silent stream, so that one comment line now and then kept a stalled stream until its deadline. And the limit cancelled a slow stream before it was known whether the limit on retries, or any other upstream, would let it continue; if not, it was broken off.

Change: only events restart the time limit. When it passes, the router first reserves another upstream and a retry; without them the stream continues where it is, and the reservation is tried again later.

TestDrippingStreamContinuesElsewhere and TestSlowStreamIsNotBrokenOffWithoutSuccessor failed first (unexpected end of the response) and pass.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
@@ -26,11 +27,14 @@
 	body          []byte
 
 	attempts   int
-	tried      []string      // ids of the upstreams of all attempts
-	mayHaveRun bool          // at least one attempt may have run
-	upstream   string        // id of the upstream of the latest attempt
-	status     int           // of the latest response, from an upstream or this router; 0 before
-	firstByte  time.Duration // from received until the response began
+	tried      []string // ids of the upstreams of all attempts
+	mayHaveRun bool     // at least one attempt may have run
+	// successor is the next upstream, reserved by the watchdog of an attempt; nil
+	// without one.
+	successor atomic.Pointer[assignment]
+	upstream  string        // id of the upstream of the latest attempt
+	status    int           // of the latest response, from an upstream or this router; 0 before
+	firstByte time.Duration // from received until the response began
 }
 
 func (c *call) workspaceName() string {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -87,21 +87,25 @@
 }
 
 // relayStream relays a stream in whole events. An incomplete event is dropped, so
-// that the stream can continue at another upstream.
+// that the stream can continue at another upstream. Only events count as progress; an
+// upstream that sends other bytes now and then has stalled.
 func (h *Handler) relayStream(ctx context.Context, out *callerResponse, c *call, a *assignment, response *http.Response, watchdog *watchdog) result {
 	var pending []byte
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := response.Body.Read(chunk)
 		if n > 0 {
-			watchdog.reset()
 			unseen := max(len(pending)-len(eventEnd)+1, 0)
 			pending = append(pending, chunk[:n]...)
 			if i := bytes.LastIndex(pending[unseen:], eventEnd); i >= 0 {
 				end := unseen + i + len(eventEnd)
+				before := out.events
 				if err := h.forward(out, c, a, response, pending[:end]); err != nil {
 					return result{answered, placement.Abandoned, "caller left"}
 				}
+				if out.events > before {
+					watchdog.reset()
+				}
 				pending = append(pending[:0], pending[end:]...)
 			}
 		}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,17 +66,18 @@
 // dispatch tries upstreams until one has answered or no further attempt is allowed.
 func (h *Handler) dispatch(w http.ResponseWriter, c *call) {
 	out := newCallerResponse(w)
+	defer h.releaseSuccessor(c)
 	for {
 		now := time.Now()
 		if c.remaining(now) < minRemaining {
 			h.giveUp(out, c, http.StatusGatewayTimeout, "time is over", 0)
 			return
 		}
-		if c.attempts > 0 && !h.takeRetry(now, c) {
+		a, ok := h.nextAssignment(now, c)
+		if !ok {
 			h.giveUp(out, c, http.StatusBadGateway, "no further attempt allowed", notReadyRetry)
 			return
 		}
-		a := h.pools.assign(now, c)
 		h.metrics.assigned(&a)
 		if a.Refused() {
 			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, append([]any{"wait", a.Wait}, a.shareFields()...)...)
@@ -108,6 +110,42 @@
 	}
 }
 
+// nextAssignment returns the upstream for the next attempt: the one that the watchdog
+// of a silent attempt has reserved, or a new one. It returns false if no further
+// attempt is allowed.
+func (h *Handler) nextAssignment(now time.Time, c *call) (assignment, bool) {
+	if successor := c.successor.Swap(nil); successor != nil {
+		return *successor, true
+	}
+	if c.attempts > 0 && !h.takeRetry(now, c) {
+		return assignment{}, false
+	}
+	return h.pools.assign(now, c), true
+}
+
+// reserveSuccessor reserves another upstream for a request and reports whether there
+// is one and the limit on retries allows it.
+func (h *Handler) reserveSuccessor(c *call) bool {
+	now := time.Now()
+	a := h.pools.assign(now, c)
+	if a.Refused() {
+		return false
+	}
+	if !h.takeRetry(now, c) {
+		h.pools.ended(now, c, &a, placement.Abandoned, false)
+		return false
+	}
+	c.successor.Store(&a)
+	return true
+}
+
+// releaseSuccessor gives up an upstream that was reserved but is not needed.
+func (h *Handler) releaseSuccessor(c *call) {
+	if a := c.successor.Swap(nil); a != nil {
+		h.pools.ended(time.Now(), c, a, placement.Abandoned, false)
+	}
+}
+
 // takeRetry reports whether another attempt is allowed, and takes it from the
 // fleet's retry budget.
 func (h *Handler) takeRetry(now time.Time, c *call) bool {
@@ -142,7 +180,7 @@
 	defer cancel(nil)
 	timer := time.AfterFunc(time.Until(c.deadline), func() { cancel(errDeadline) })
 	defer timer.Stop()
-	watchdog := newWatchdog(c, cancel)
+	watchdog := h.newWatchdog(c, cancel)
 	defer watchdog.stop()
 
 	var connected, wrote atomic.Bool
@@ -236,31 +274,53 @@
 }
 
 // watchdog cancels an attempt at a silent upstream if the request can be retried
-// elsewhere.
+// elsewhere. Otherwise the attempt continues, as the upstream may only be slow.
 type watchdog struct {
 	timer   *time.Timer // nil if the request cannot be retried
 	timeout time.Duration
+
+	mu      sync.Mutex
+	stopped bool
 }
 
-func newWatchdog(c *call, cancel context.CancelCauseFunc) *watchdog {
-	timeout := time.Duration(plainTimeoutTargets * float64(c.route.TargetLatency))
+func (h *Handler) newWatchdog(c *call, cancel context.CancelCauseFunc) *watchdog {
+	w := &watchdog{timeout: time.Duration(plainTimeoutTargets * float64(c.route.TargetLatency))}
 	if c.route.Kind == catalog.Stream {
-		timeout = max(minStreamTimeout, time.Duration(streamTimeoutTargets*float64(c.route.TargetLatency)), streamTimeoutGaps*c.route.TargetGap)
+		w.timeout = max(minStreamTimeout, time.Duration(streamTimeoutTargets*float64(c.route.TargetLatency)), streamTimeoutGaps*c.route.TargetGap)
 	}
 	if !c.route.Retryable() || c.attempts >= c.route.MaxAttempts {
-		return &watchdog{}
+		return w
 	}
-	return &watchdog{timer: time.AfterFunc(timeout, func() { cancel(errSilent) }), timeout: timeout}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(w.timeout, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		switch {
+		case w.stopped:
+		case h.reserveSuccessor(c):
+			cancel(errSilent)
+		default:
+			w.timer.Reset(w.timeout)
+		}
+	})
+	return w
 }
 
+// reset restarts the timeout after an upstream has made progress.
 func (w *watchdog) reset() {
 	if w.timer != nil {
 		w.timer.Reset(w.timeout)
 	}
 }
 
+// stop ends the watchdog. Nothing is reserved afterwards.
 func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
+	if w.timer == nil {
+		return
 	}
+	w.timer.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 }
--- a/gateway/stories_test.go
+++ b/gateway/stories_test.go
@@ -39,3 +39,33 @@
 		})
 	}
 }
+
+// A stream that sends comment lines but no events is stalled and continues at another
+// upstream.
+func TestDrippingStreamContinuesElsewhere(t *testing.T) {
+	s := newSite(t, 2, 0)
+	r := s.start(true)
+	for _, dripping := range s.engines {
+		dripping.SetBehaviour(site.Dripping)
+		q := streamRequest(site.StreamPath)
+		q.deadline = 10_000
+		got := r.ask(q)
+		dripping.SetBehaviour(site.Healthy)
+		require.NoError(t, got.err)
+		assert.Contains(t, got.body, site.StreamBody(4, 6))
+	}
+}
+
+// A slow but sound stream must not be broken off when no other upstream can take it
+// over.
+func TestSlowStreamIsNotBrokenOffWithoutSuccessor(t *testing.T) {
+	s := newSite(t, 1, 0)
+	r := s.start(true)
+	s.engines[0].SetBehaviour(site.SlowStream)
+	q := streamRequest(site.StreamPath)
+	q.deadline = 8000
+	got := r.ask(q)
+	require.NoError(t, got.err)
+	assert.Equal(t, site.StreamBody(1, 6), got.body)
+	assert.Equal(t, 1, s.runs(q.id))
+}
