gateway: answer requests that are being read when a router exits

Cause: at the end of a shutdown all connections were closed at once: those in the queue of the listener, and those on which a request was half read. Their callers had sent a request to a router that had accepted the connection, and got no answer.

Change: the router first accepts what waits in the queue, then closes the listener and idle connections, and gives the others up to 300 ms of the exit margin of 600 ms to get their answers, mostly refusals with a time to retry.

Ruled out: http.Server.Shutdown, which closes a connection without an answer when the head of its first request is completed during the shutdown (seen in the test).

TestRequestReadWhileExitingIsAnswered failed first (end of file in place of an answer) and passes.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,6 +34,10 @@
 	// router exits exitMargin before it would be killed.
 	refuseAfterRatio = 0.375
 	exitMargin       = 600 * time.Millisecond
+	// lastAnswersTimeout bounds the answers to requests that are being read when the
+	// router exits. It is part of exitMargin.
+	lastAnswersTimeout = 300 * time.Millisecond
+	lastAnswersPoll    = 2 * time.Millisecond
 	// closeTimeout bounds closing the connections to other routers.
 	closeTimeout = 100 * time.Millisecond
 	// quietPeriod is the time without new requests after which an idle router exits
@@ -73,6 +77,7 @@
 	transport    *peer.QUIC
 	handler      *Handler
 	listeners    []net.Listener
+	intake       *intakeListener // one of listeners, for callers
 	callerServer *http.Server
 
 	mu              sync.Mutex
@@ -201,11 +206,12 @@
 // serveCallers listens on the address for callers and serves it in the background.
 // Errors: ErrListen.
 func (g *Gateway) serveCallers() error {
-	listener, err := listenIntake(g.settings.CallerAddress)
+	intake, err := listenIntake(g.settings.CallerAddress)
 	if err != nil {
 		return err
 	}
-	g.serve(listener, g.callerServer)
+	g.intake = intake
+	g.serve(intake, g.callerServer)
 	return nil
 }
 
@@ -270,7 +276,7 @@
 // close closes listeners and connections. Routers that do not respond must not keep
 // the process alive beyond its grace period.
 func (g *Gateway) close() {
-	g.callerServer.Close()
+	g.closeCallers()
 	for _, listener := range g.listeners {
 		listener.Close()
 	}
@@ -288,6 +294,26 @@
 	}
 }
 
+// closeCallers stops accepting connections, once those that wait have been accepted,
+// and lets requests that are being read or are in progress end, all within
+// lastAnswersTimeout.
+func (g *Gateway) closeCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTimeout)
+	defer cancel()
+	for g.intake.hasQueued() && ctx.Err() == nil {
+		_ = pause.For(ctx, lastAnswersPoll)
+	}
+	g.intake.Close()
+	g.callerServer.SetKeepAlivesEnabled(false) // closes idle connections
+	for g.openConnections.Load() > 0 && ctx.Err() == nil {
+		_ = pause.For(ctx, lastAnswersPoll)
+	}
+	if left := g.openConnections.Load(); left > 0 {
+		g.logger.Warn("connections are closed at exit", "in_progress", g.handler.inProgress.Load(), "connections", left)
+	}
+	g.callerServer.Close()
+}
+
 // register writes this router's record into the store and learns of the routers
 // registered there.
 func (g *Gateway) register(ctx context.Context) {
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -76,6 +77,19 @@
 	return unix.AF_INET6, &unix.SockaddrInet6{Port: int(address.Port()), Addr: address.Addr().As16()}
 }
 
+// hasQueued reports whether connections wait to be accepted.
+func (l *intakeListener) hasQueued() bool {
+	system, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := system.SyscallConn()
+	if err != nil {
+		return false // closed
+	}
+	return pollEvents(raw, unix.POLLIN)
+}
+
 // Accept implements net.Listener.
 func (l *intakeListener) Accept() (net.Conn, error) {
 	connection, err := l.Listener.Accept()
--- a/gateway/left.go
+++ b/gateway/left.go
@@ -40,17 +40,23 @@
 	if err != nil {
 		return true // closed on this side
 	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	return pollEvents(raw, unix.POLLRDHUP)
+}
+
+// pollEvents reports whether a descriptor has any of the given poll events now. A
+// closed one has all.
+func pollEvents(raw syscall.RawConn, events int16) bool {
+	found := false
+	err := raw.Control(func(fd uintptr) {
+		poll := []unix.PollFd{{Fd: int32(fd), Events: events}}
 		for {
 			n, err := unix.Poll(poll, 0)
 			if errors.Is(err, unix.EINTR) {
 				continue
 			}
-			closed = err == nil && n > 0
+			found = err == nil && n > 0
 			return
 		}
 	})
-	return closed || err != nil
+	return found || err != nil
 }
--- a/gateway/stories_test.go
+++ b/gateway/stories_test.go
@@ -1,8 +1,12 @@
 package gateway_test
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -69,3 +73,31 @@
 	assert.Equal(t, site.StreamBody(1, 6), got.body)
 	assert.Equal(t, 1, s.runs(q.id))
 }
+
+// A router that exits must answer a request that it has begun to read, although the
+// head is completed only after the router has decided to exit.
+func TestRequestReadWhileExitingIsAnswered(t *testing.T) {
+	s := newSite(t, 0, 1)
+	r := s.start(true)
+	connection, err := net.Dial("tcp", r.CallerAddress())
+	require.NoError(t, err)
+	defer connection.Close()
+	r.stop()
+	// The router has nothing in progress and exits when callers have had the time to
+	// learn of others.
+	exit := time.Now().Add(time.Duration(0.375 * float64(r.Grace)))
+	time.Sleep(time.Until(exit.Add(-200 * time.Millisecond)))
+	q := request{path: site.OrderPath + "1", id: newID()}
+	head := "POST " + q.path + " HTTP/1.1\r\nHost: " + site.Host + "\r\nRequest-Id: " + q.id + "\r\n"
+	_, err = io.WriteString(connection, head)
+	require.NoError(t, err)
+	time.Sleep(time.Until(exit.Add(100 * time.Millisecond)))
+	_, err = io.WriteString(connection, "Deadline: 2000\r\nContent-Length: 0\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.NotEmpty(t, response.Header.Get("Retry-After"))
+	assert.Zero(t, s.runs(q.id))
+}
