gateway, pause: after a pause, confirm versions and count suspended time

Cause: a router that was stopped by a signal or suspended with its machine went on with the configuration, the upstreams, the sums and the deadlines it had. The clock of package time does not count a suspension, so deadlines and ages looked as fresh as before; messages that waited in the socket looked new.

Change: package boottime reads the clock that counts suspensions. The time left of a request is reduced by the time for which the machine was suspended since it arrived, and both are checked before each attempt.

Ruled out: waiting for the next report, since one sent before the pause may still be in the socket's buffer.

--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -37,6 +37,7 @@
 	config := versioned.NewLatest[platform.Config]()
 	config.Update(platform.Config{Table: table}, 1, versioned.Store, now)
 	h := &Handler{
+		mayAct: func() bool { return true },
 		config: config, pools: p, logger: log.New(io.Discard), admitLine: func() bool { return false }, metrics: newRequestMetrics(),
 		stopState: func() shutdown.State { return shutdown.Serving }, requestArrived: func() {}, manyConnections: func() bool { return false }, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -15,6 +15,11 @@
 	request  *http.Request
 	headers  platform.CallerRequest
 	received time.Time
+	// suspended returns how long the machine has been suspended so far, and
+	// suspendedBefore is its result when the request was received. Without it no
+	// suspension counts.
+	suspended       func() time.Duration
+	suspendedBefore time.Duration
 	// processorWait is how long the request's goroutine waited to be scheduled.
 	processorWait time.Duration
 	// deadline is when the caller's or the route's timeout ends, whichever is
@@ -44,7 +49,15 @@
 	return c.workspace.Name
 }
 
-func (c *call) remaining(now time.Time) time.Duration { return c.deadline.Sub(now) }
+// remaining returns the time until the deadline. Time in which the machine was
+// suspended since the request was received counts, although the clock stood still.
+func (c *call) remaining(now time.Time) time.Duration {
+	remaining := c.deadline.Sub(now)
+	if c.suspended != nil {
+		remaining -= max(c.suspended()-c.suspendedBefore, 0)
+	}
+	return remaining
+}
 
 // expectedOutput estimates the tokens that an engine will generate.
 func (c *call) expectedOutput() int {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -10,8 +10,10 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rotisserie/eris"
 
+	"github.com/lacewingshift/lacewingshift/boottime"
 	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/fleet"
+	"github.com/lacewingshift/lacewingshift/pause"
 	"github.com/lacewingshift/lacewingshift/peer"
 	"github.com/lacewingshift/lacewingshift/platform"
 	"github.com/lacewingshift/lacewingshift/versioned"
@@ -44,6 +46,9 @@
 const (
 	itemConfig    item = "config"
 	itemUpstreams item = "upstreams"
+	// itemVersions asks for the versions that the other router holds. The response
+	// was made after the request, which a report that arrives need not be.
+	itemVersions item = "versions"
 )
 
 // fetchRequest is the wire form of a request for the newest version of an item.
@@ -61,6 +66,15 @@
 	Change    *versioned.Change  `cbor:"3,keyasint,omitempty"`
 }
 
+// versionsResponse is the wire form of the versions that a router holds.
+type versionsResponse struct {
+	Config    int64 `cbor:"1,keyasint"`
+	Upstreams int64 `cbor:"2,keyasint"`
+}
+
+// confirmTimeout bounds one question to another router after a pause.
+const confirmTimeout = 300 * time.Millisecond
+
 // exchange sends this router's reports to the other routers and processes theirs.
 // It is safe for concurrent use.
 type exchange struct {
@@ -76,6 +90,9 @@
 	sentBytes          func(kind fleet.Kind, to fleet.Distance, bytes int)
 	ctx                context.Context
 
+	guardMu sync.Mutex
+	guard   pause.Guard
+
 	mu       sync.Mutex
 	table    *fleet.Table
 	live     map[string]fleet.State // by host, as of the latest logMembership
@@ -111,6 +128,13 @@
 
 // tick sends a report and applies what others have reported.
 func (x *exchange) tick(now time.Time) {
+	x.guardMu.Lock()
+	paused := x.guard.Tick(boottime.Now())
+	x.guardMu.Unlock()
+	if paused {
+		x.logger.Warn("process was paused, versions are confirmed before further requests")
+		go x.confirmVersions()
+	}
 	report := &fleet.Report{ConfigVersion: x.config.Get().Version, UpstreamsVersion: x.upstreams.Get().Version}
 	x.pools.fillReport(now, report)
 	x.mu.Lock()
@@ -222,6 +246,54 @@
 	}
 }
 
+// mayAct reports whether requests may be handled with the versions that this router
+// holds. After a pause they may have been replaced, or a key may have been revoked.
+func (x *exchange) mayAct() bool {
+	x.guardMu.Lock()
+	defer x.guardMu.Unlock()
+	return x.guard.MayAct(boottime.Now())
+}
+
+// confirmVersions asks a live router, the nearest one first, which versions it holds,
+// and fetches newer ones from it.
+func (x *exchange) confirmVersions() {
+	x.mu.Lock()
+	reports := x.table.Reports(time.Now())
+	x.mu.Unlock()
+	slices.SortStableFunc(reports, func(a, b *fleet.Report) int { return x.distanceRank(a) - x.distanceRank(b) })
+	for _, r := range reports {
+		err := x.confirmWith(r.Host)
+		if err == nil {
+			x.guardMu.Lock()
+			x.guard.Confirm()
+			x.guardMu.Unlock()
+			x.logger.Info("versions confirmed after a pause", "host", r.Host, "config", x.config.Get().Version, "upstreams", x.upstreams.Get().Version)
+			return
+		}
+		x.logger.Warn("confirming versions after a pause failed", "host", r.Host, "err", err)
+	}
+}
+
+func (x *exchange) confirmWith(host string) error {
+	body, err := x.callFetch(host, fetchRequest{Item: itemVersions}, confirmTimeout)
+	if err != nil {
+		return err
+	}
+	var held versionsResponse
+	if err := cbor.Unmarshal(body, &held); err != nil {
+		return eris.Wrap(fleet.ErrMessage, err.Error())
+	}
+	if held.Config > x.config.Get().Version {
+		if err := x.fetchFrom(host, itemConfig); err != nil {
+			return err
+		}
+	}
+	if held.Upstreams > x.upstreams.Get().Version {
+		return x.fetchFrom(host, itemUpstreams)
+	}
+	return nil
+}
+
 // fetchNewer fetches newer versions from the sender of a report, unless this
 // router's own watch is about to deliver them. periodic is false for a report that
 // has just arrived; it triggers no fetch from another region, because a router of
@@ -261,7 +333,7 @@
 	if what == itemUpstreams {
 		return x.fetchUpstreams(host)
 	}
-	body, err := x.callFetch(host, fetchRequest{Item: what})
+	body, err := x.callFetch(host, fetchRequest{Item: what}, fetchTimeout)
 	if err != nil {
 		return err
 	}
@@ -293,7 +365,7 @@
 
 func (x *exchange) callFetchUpstreams(host string, since int64) (upstreamsResponse, error) {
 	var response upstreamsResponse
-	body, err := x.callFetch(host, fetchRequest{Item: itemUpstreams, Since: since})
+	body, err := x.callFetch(host, fetchRequest{Item: itemUpstreams, Since: since}, fetchTimeout)
 	if err != nil {
 		return response, err
 	}
@@ -306,8 +378,8 @@
 	return response, nil
 }
 
-func (x *exchange) callFetch(host string, request fetchRequest) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(x.ctx, fetchTimeout)
+func (x *exchange) callFetch(host string, request fetchRequest, timeout time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(x.ctx, timeout)
 	defer cancel()
 	encoded, err := cbor.Marshal(request)
 	if err != nil {
@@ -331,6 +403,8 @@
 		return current.Value.Spec, nil
 	case itemUpstreams:
 		return x.upstreamsResponse(request.Since)
+	case itemVersions:
+		return cbor.Marshal(versionsResponse{Config: x.config.Get().Version, Upstreams: x.upstreams.Get().Version})
 	default:
 		return nil, eris.Errorf("item %q is not known", request.Item)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,7 +116,7 @@
 	g.handler = &Handler{
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: metrics,
 		stopState: g.state, requestArrived: g.requestArrived,
-		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
+		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, mayAct: g.exchange.mayAct, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
 	}
 	g.addGauges()
 	return g, g.listen(options)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -16,6 +16,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/lacewingshift/lacewingshift/boottime"
 	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/overload"
 	"github.com/lacewingshift/lacewingshift/placement"
@@ -33,6 +34,8 @@
 	// checked again. The bodies of most requests arrive together with their
 	// headers.
 	slowBodyRead = 20 * time.Millisecond
+	// reasonPaused is the reason of refusals after a pause of the process.
+	reasonPaused = "router was paused"
 	// defaultCallerTimeout applies to callers that state no deadline.
 	defaultCallerTimeout = 30 * time.Second
 )
@@ -51,6 +54,9 @@
 	requestArrived func()
 	// routers returns the number of ready routers.
 	routers func() int
+	// mayAct reports whether the configuration and the upstreams may be used; after a
+	// pause of the process they have to be confirmed first.
+	mayAct func() bool
 	// manyConnections reports whether callers hold so many connections that they
 	// are closed after each response.
 	manyConnections func() bool
@@ -67,7 +73,7 @@
 	defer h.inProgress.Add(-1)
 	defer freeIntakeSlot(r)
 	h.requestArrived()
-	c := &call{request: r, received: time.Now(), processorWait: overload.ProcessorWait()}
+	c := &call{request: r, received: time.Now(), suspended: boottime.Suspended, suspendedBefore: boottime.Suspended(), processorWait: overload.ProcessorWait()}
 	h.metrics.processorWait.Update(c.processorWait.Seconds())
 	state := h.stopState()
 	if state != shutdown.Serving || c.processorWait >= overload.BusyWait || h.manyConnections() {
@@ -126,6 +132,10 @@
 		h.refuse(w, c, notReadyRetry, "no configuration known")
 		return false
 	}
+	if !h.mayAct() {
+		h.refuse(w, c, notReadyRetry, reasonPaused)
+		return false
+	}
 	if err != nil {
 		h.reject(w, c, http.StatusBadRequest, err.Error())
 		return false
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -73,6 +73,10 @@
 			h.giveUp(out, c, http.StatusGatewayTimeout, "time is over", 0)
 			return
 		}
+		if !h.mayAct() {
+			h.giveUp(out, c, http.StatusServiceUnavailable, reasonPaused, notReadyRetry)
+			return
+		}
 		a, ok := h.nextAssignment(now, c)
 		if !ok {
 			h.giveUp(out, c, http.StatusBadGateway, "no further attempt allowed", notReadyRetry)
@@ -178,7 +182,7 @@
 func (h *Handler) attempt(out *callerResponse, c *call, a *assignment) result {
 	ctx, cancel := context.WithCancelCause(c.request.Context())
 	defer cancel(nil)
-	timer := time.AfterFunc(time.Until(c.deadline), func() { cancel(errDeadline) })
+	timer := time.AfterFunc(c.remaining(time.Now()), func() { cancel(errDeadline) })
 	defer timer.Stop()
 	watchdog := h.newWatchdog(c, cancel)
 	defer watchdog.stop()
@@ -222,7 +226,7 @@
 // upstreamRequest builds the request to the upstream.
 func (h *Handler) upstreamRequest(ctx context.Context, out *callerResponse, c *call, a *assignment) *http.Request {
 	fields := platform.SystemFields{
-		Instance: a.Upstream.ID, Workspace: c.workspaceName(), Remaining: time.Until(c.deadline), LastEvent: out.lastEventID,
+		Instance: a.Upstream.ID, Workspace: c.workspaceName(), Remaining: c.remaining(time.Now()), LastEvent: out.lastEventID,
 	}
 	uri := target(c.request)
 	request := &http.Request{
