daemon: lines of net/http go through the bounded log

Cause: net/http reports bytes that nobody asked for on an idle connection, and other errors of connections, through package log: free text on standard error, unbounded and blocking. Seen in TestLateSecondAnswerReachesNobody.

Change: package log writes into the router's log, with the prefix http and as warnings.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	stdlog "log"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -66,6 +67,10 @@
 		<-sinkDone
 	}()
 	logger := newPlatformLogger(sink, c.level)
+	// net/http reports upstreams that send bytes nobody asked for, and callers' broken
+	// connections, through package log, which would write to standard error and block.
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(logger.WithPrefix("http").StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}).Writer())
 	s, err := platform.LoadSettings(c.file)
 	if err != nil {
 		logger.Error("cannot load settings", "file", c.file, "err", err)
