gateway: compress whole rosters and configurations that routers fetch

Cause: when a fleet starts, each router fetches the configuration and all upstreams from one of its relays: 225 KB for 3,000 upstreams, to 50 routers from one relay.

Change: both are compressed (compress/flate) once a version and sent in that form; what is decompressed is bounded (TestDecompressedSizeIsBounded). A roster of 3,000 upstreams is held under 70 KB by TestFetchOfUpstreamsCarriesChangesOnly, which failed at that limit before.

Ruled out: a tree of routers that fetch from each other, which adds round trips to the start.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -61,9 +61,10 @@
 // upstreamsResponse is the wire form of a roster: what has changed since the version
 // in the request, or all upstreams.
 type upstreamsResponse struct {
-	Version   int64              `cbor:"1,keyasint"`
-	Upstreams []catalog.Upstream `cbor:"2,keyasint,omitempty"`
-	Change    *versioned.Change  `cbor:"3,keyasint,omitempty"`
+	Version int64             `cbor:"1,keyasint"`
+	Change  *versioned.Change `cbor:"2,keyasint,omitempty"`
+	// Whole is the compressed encoding of all upstreams.
+	Whole []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // versionsResponse is the wire form of the versions that a router holds.
@@ -98,9 +99,10 @@
 	live     map[string]fleet.State // by host, as of the latest logMembership
 	fetching map[item]bool
 	history  versioned.History // of upstreams
-	// wholeRoster is the response with all upstreams at wholeVersion.
-	wholeRoster  []byte
-	wholeVersion int64
+
+	wholeMu sync.Mutex
+	// wholeRoster and wholeConfig are compressed when they are first asked for.
+	wholeRoster, wholeConfig compressed
 }
 
 func (x *exchange) run(ctx context.Context) error {
@@ -337,7 +339,11 @@
 	if err != nil {
 		return err
 	}
-	return x.feed.UpdateConfig(time.Now(), body, versioned.Peer)
+	spec, err := decompress(body)
+	if err != nil {
+		return err
+	}
+	return x.feed.UpdateConfig(time.Now(), spec, versioned.Peer)
 }
 
 // fetchUpstreams fetches what has changed since this router's roster, and the whole
@@ -359,7 +365,15 @@
 			return err
 		}
 	}
-	x.feed.UpdateUpstreams(time.Now(), versioned.NewRoster(response.Upstreams), response.Version, versioned.Peer)
+	encoded, err := decompress(response.Whole)
+	if err != nil {
+		return err
+	}
+	var all []catalog.Upstream
+	if err := cbor.Unmarshal(encoded, &all); err != nil {
+		return eris.Wrap(fleet.ErrMessage, err.Error())
+	}
+	x.feed.UpdateUpstreams(time.Now(), versioned.NewRoster(all), response.Version, versioned.Peer)
 	return nil
 }
 
@@ -372,7 +386,7 @@
 	if err := cbor.Unmarshal(body, &response); err != nil {
 		return response, eris.Wrap(fleet.ErrMessage, err.Error())
 	}
-	if response.Change == nil && len(response.Upstreams) == 0 {
+	if response.Change == nil && response.Whole == nil {
 		return response, eris.Wrap(fleet.ErrMessage, "response has no upstreams")
 	}
 	return response, nil
@@ -400,7 +414,9 @@
 		if current.Version == 0 {
 			return nil, eris.New("no configuration known")
 		}
-		return current.Value.Spec, nil
+		x.wholeMu.Lock()
+		defer x.wholeMu.Unlock()
+		return x.wholeConfig.get(current.Version, func() ([]byte, error) { return current.Value.Spec, nil })
 	case itemUpstreams:
 		return x.upstreamsResponse(request.Since)
 	case itemVersions:
@@ -411,26 +427,25 @@
 }
 
 // upstreamsResponse returns the encoded changes of the upstreams since a version, or
-// all upstreams if the history does not go back that far. The latter are encoded
-// once, as a starting fleet fetches them from a few routers.
+// all upstreams if the history does not go back that far.
 func (x *exchange) upstreamsResponse(since int64) ([]byte, error) {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	roster, version := x.history.Latest()
+	change, ok := x.history.Since(since)
+	x.mu.Unlock()
 	if roster == nil {
 		return nil, eris.New("no upstreams known")
 	}
-	if change, ok := x.history.Since(since); ok {
+	if ok {
 		return cbor.Marshal(upstreamsResponse{Version: version, Change: &change})
 	}
-	if x.wholeVersion != version {
-		encoded, err := cbor.Marshal(upstreamsResponse{Version: version, Upstreams: roster.All()})
-		if err != nil {
-			return nil, eris.Wrap(err, "encode upstreams")
-		}
-		x.wholeRoster, x.wholeVersion = encoded, version
+	x.wholeMu.Lock()
+	defer x.wholeMu.Unlock()
+	whole, err := x.wholeRoster.get(version, func() ([]byte, error) { return cbor.Marshal(roster.All()) })
+	if err != nil {
+		return nil, eris.Wrap(err, "encode upstreams")
 	}
-	return x.wholeRoster, nil
+	return cbor.Marshal(upstreamsResponse{Version: version, Whole: whole})
 }
 
 // remember keeps a roster for upstreamsResponse.
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/fleet"
 	"github.com/lacewingshift/lacewingshift/versioned"
 )
 
@@ -33,7 +34,7 @@
 	for _, test := range []struct {
 		since    int64
 		maxBytes int
-	}{{0, 300_000}, {2, 500}, {5, 50}, {99, 300_000}} {
+	}{{0, 70_000}, {2, 500}, {5, 50}, {99, 70_000}} {
 		encoded, err := x.upstreamsResponse(test.since)
 		require.NoError(t, err)
 		assert.LessOrEqual(t, len(encoded), test.maxBytes, "since %d", test.since)
@@ -41,7 +42,11 @@
 		require.NoError(t, cbor.Unmarshal(encoded, &response))
 		assert.Equal(t, int64(5), response.Version)
 		if response.Change == nil {
-			assert.Len(t, response.Upstreams, 3000, "since %d", test.since)
+			encoded, err := decompress(response.Whole)
+			require.NoError(t, err)
+			var all []catalog.Upstream
+			require.NoError(t, cbor.Unmarshal(encoded, &all))
+			assert.Equal(t, largeRoster(5).All(), all, "since %d", test.since)
 			continue
 		}
 		applied, err := largeRoster(int(test.since)).Apply(*response.Change)
@@ -49,3 +54,14 @@
 		assert.Equal(t, largeRoster(5).All(), applied.All())
 	}
 }
+
+// A router must not be made to use up its memory by another one's response.
+func TestDecompressedSizeIsBounded(t *testing.T) {
+	var c compressed
+	data, err := c.get(1, func() ([]byte, error) { return make([]byte, 2*maxDecompressed), nil })
+	require.NoError(t, err)
+	_, err = decompress(data)
+	assert.ErrorIs(t, err, fleet.ErrMessage)
+	_, err = decompress([]byte("not compressed"))
+	assert.ErrorIs(t, err, fleet.ErrMessage)
+}
