fleet, gateway: files for probing, watching and fetching; interest announced once

Moves only, but for one thing that reading showed: a report that also went out as a probe or a request to begin a stream again carried the whole list of upstreams of interest in a large fleet. The list is now taken from the report first and put back only when the relays are due for one. Tests of fleet pass unchanged.

--- a/fleet/interest.go
+++ b/fleet/interest.go
@@ -10,17 +10,15 @@
 	reports   int             // since the whole was announced
 }
 
-// announceInterest replaces the interest in a report, which lists all upstreams that
-// this router needs, by what has to be announced of it.
-func (t *Table) announceInterest(own *Report) {
-	needed := own.Interest
-	own.Interest = nil
+// announceInterest returns what has to be announced to the relays of the upstreams
+// that this router needs: nil for nothing new. needed lists them; nil stands for all.
+func (t *Table) announceInterest(needed *Interest) *Interest {
 	announced := &t.interest
 	if needed == nil {
 		needed = &Interest{All: true}
 	}
 	if needed.All && announced.upstreams == nil && announced.reports == 0 {
-		return // relays assume it
+		return nil // relays assume it
 	}
 	announced.reports++
 	if (announced.upstreams == nil) != needed.All || announced.reports >= interestRepeat {
@@ -29,8 +27,7 @@
 		if !needed.All {
 			announced.upstreams = setOf(needed.Upstreams)
 		}
-		own.Interest = &Interest{Reset: true, All: needed.All, Upstreams: needed.Upstreams}
-		return
+		return &Interest{Reset: true, All: needed.All, Upstreams: needed.Upstreams}
 	}
 	var added []string
 	for _, upstream := range needed.Upstreams {
@@ -39,9 +36,10 @@
 			added = append(added, upstream)
 		}
 	}
-	if len(added) > 0 {
-		own.Interest = &Interest{Upstreams: added}
+	if len(added) == 0 {
+		return nil
 	}
+	return &Interest{Upstreams: added}
 }
 
 // addInterest applies what a router has announced.
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -88,8 +87,9 @@
 // Messages completes this router's report and returns the messages to send.
 func (t *Table) Messages(now time.Time, own *Report) []Message {
 	t.stamp(own)
+	interest := own.Interest
+	own.Interest = nil
 	if !t.usesRelays(now) {
-		own.Interest = nil // the recipients are no relays
 		if t.sequence%knownInterval == 1 {
 			t.addKnown(own)
 		}
@@ -100,7 +100,7 @@
 	messages := t.resyncRequests(now, own)
 	if t.reportDue(now, own, slices.Contains(relays, t.self.Host)) {
 		t.reported, t.reportedAt = own.versions(), now
-		t.announceInterest(own)
+		own.Interest = t.announceInterest(interest)
 		messages = append(messages, Message{To: t.otherHosts(relays), Kind: KindReport, Envelope: Envelope{Report: own}})
 	}
 	messages = append(messages, t.introductions(now, own, active)...)
@@ -143,54 +143,6 @@
 	}
 }
 
-// introductions tells routers that have just started, and know only their seeds, of
-// the routers that are likely to be relays.
-func (t *Table) introductions(now time.Time, own *Report, active bool) []Message {
-	var messages []Message
-	for host, m := range t.members {
-		isNew := now.Sub(m.firstSeenAt) < 2*probeInterval
-		receivesDigests := active && m.record.DataCentre == t.self.DataCentre
-		if !isNew || receivesDigests || m.report == nil || now.Sub(m.reportedAt) >= ReportInterval || now.Sub(m.introducedAt) < probeInterval {
-			continue
-		}
-		m.introducedAt = now
-		introduction := *own
-		introduction.Loads, introduction.WorkspaceTokens, introduction.Retries, introduction.Interest = nil, nil, nil, nil
-		introduction.Known = t.likelyRelays(now, m.record.DataCentre)
-		messages = append(messages, Message{To: []string{host}, Kind: KindIntroduction, Envelope: Envelope{Report: &introduction}})
-	}
-	return messages
-}
-
-// likelyRelays returns the first known routers of each data centre, live ones first,
-// and a few more of the given one.
-func (t *Table) likelyRelays(now time.Time, dataCentre string) []Record {
-	byDataCentre := map[string][]*member{}
-	for _, m := range t.members {
-		byDataCentre[m.record.DataCentre] = append(byDataCentre[m.record.DataCentre], m)
-	}
-	var likely []Record
-	for name, members := range byDataCentre {
-		slices.SortFunc(members, func(a, b *member) int {
-			if live := t.isLive(now, a); live != t.isLive(now, b) {
-				if live {
-					return -1
-				}
-				return 1
-			}
-			return cmp.Compare(a.record.Host, b.record.Host)
-		})
-		count := relaysPerDataCentre
-		if name == dataCentre {
-			count += extraProbes
-		}
-		for _, m := range members[:min(len(members), count)] {
-			likely = append(likely, m.record)
-		}
-	}
-	return likely
-}
-
 // otherHosts returns hosts without the one of this router.
 func (t *Table) otherHosts(hosts []string) []string {
 	var otherHosts []string
--- /dev/null
+++ b/fleet/watch.go
@@ -0,0 +1,48 @@
+package fleet
+
+import "time"
+
+// WatchRank returns the position of this router among the live ones of its region
+// that may watch the store on behalf of all of them: ready ones before starting ones,
+// by host. The first one watches; the others take over when its confirmations become
+// old.
+func (t *Table) WatchRank(now time.Time) int {
+	before := 0
+	for _, r := range t.Live(now) {
+		if r.Region != t.self.Region || r.Host == t.self.Host || r.State == Leaving {
+			continue
+		}
+		if r.State > t.self.State || r.State == t.self.State && r.Host < t.self.Host {
+			before++
+		}
+	}
+	return before
+}
+
+// KnownRank returns how many known routers of this one's region, live or not, come
+// before it by host.
+func (t *Table) KnownRank() int {
+	before := 0
+	for host, m := range t.members {
+		if m.record.Region == t.self.Region && host < t.self.Host {
+			before++
+		}
+	}
+	return before
+}
+
+// Uptime returns the time since this router started.
+func (t *Table) Uptime(now time.Time) time.Duration { return now.Sub(t.startedAt) }
+
+// ConfirmedAge returns how long ago the store last confirmed its versions to any
+// other live router. Changes before that reach this router through that router's
+// reports.
+func (t *Table) ConfirmedAge(now time.Time) time.Duration {
+	age := ForgetAfter
+	for _, m := range t.members {
+		if t.hasFreshReport(now, m) {
+			age = min(age, m.report.StoreAge()+now.Sub(m.reportedAt))
+		}
+	}
+	return age
+}
