fleet, gateway, placement, versioned: one copy of what the digests repeat

Reading the change again showed work done twice and copies with small variations: - The checksum over a whole roster was computed for each fetch of changes, under the lock of the exchange, although the latest step of the history holds it. - A router that many newcomers report to sorted all known routers once for each of them in the same tick; now once a tick. - The copy of a report without loads was written out twice (Report.withoutLoads), and so was the order of reports by distance (sortByDistance). - Every router listed all its upstreams at each tick to find that it needs all of them, and four places compared two lengths for it; now Limited says so.

Behaviour stays; no test changed.

--- a/fleet/probe.go
+++ b/fleet/probe.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -106,45 +105,45 @@
 // the routers that are likely to be relays.
 func (t *Table) introductions(now time.Time, own *Report, active bool) []Message {
 	var messages []Message
+	var byDataCentre map[string][]Record // made for the first newcomer; a starting fleet has hundreds
 	for host, m := range t.members {
 		isNew := now.Sub(m.firstSeenAt) < 2*probeInterval
 		receivesDigests := active && m.record.DataCentre == t.self.DataCentre
 		if !isNew || receivesDigests || m.report == nil || now.Sub(m.reportedAt) >= ReportInterval || now.Sub(m.introducedAt) < probeInterval {
 			continue
 		}
+		if byDataCentre == nil {
+			byDataCentre = t.likelyRelays(now)
+		}
 		m.introducedAt = now
-		introduction := *own
-		introduction.Loads, introduction.WorkspaceTokens, introduction.Retries, introduction.Interest = nil, nil, nil, nil
-		introduction.Known = t.likelyRelays(now, m.record.DataCentre)
-		messages = append(messages, Message{To: []string{host}, Kind: KindIntroduction, Envelope: Envelope{Report: &introduction}})
+		introduction := own.withoutLoads()
+		for dataCentre, likely := range byDataCentre {
+			count := relaysPerDataCentre
+			if dataCentre == m.record.DataCentre {
+				count += extraProbes
+			}
+			introduction.Known = append(introduction.Known, likely[:min(len(likely), count)]...)
+		}
+		messages = append(messages, Message{To: []string{host}, Kind: KindIntroduction, Envelope: Envelope{Report: introduction}})
 	}
 	return messages
 }
 
-// likelyRelays returns the first known routers of each data centre, live ones first,
-// and a few more of the given one.
-func (t *Table) likelyRelays(now time.Time, dataCentre string) []Record {
-	byDataCentre := map[string][]*member{}
+// likelyRelays returns the first known routers by data centre, live ones first.
+func (t *Table) likelyRelays(now time.Time) map[string][]Record {
+	live, silent := map[string][]Record{}, map[string][]Record{}
 	for _, m := range t.members {
-		byDataCentre[m.record.DataCentre] = append(byDataCentre[m.record.DataCentre], m)
-	}
-	var likely []Record
-	for name, members := range byDataCentre {
-		slices.SortFunc(members, func(a, b *member) int {
-			if live := t.isLive(now, a); live != t.isLive(now, b) {
-				if live {
-					return -1
-				}
-				return 1
-			}
-			return cmp.Compare(a.record.Host, b.record.Host)
-		})
-		count := relaysPerDataCentre
-		if name == dataCentre {
-			count += extraProbes
+		group := silent
+		if t.isLive(now, m) {
+			group = live
 		}
-		for _, m := range members[:min(len(members), count)] {
-			likely = append(likely, m.record)
+		group[m.record.DataCentre] = append(group[m.record.DataCentre], m.record)
+	}
+	likely := map[string][]Record{}
+	for _, group := range []map[string][]Record{live, silent} {
+		for dataCentre, records := range group {
+			slices.SortFunc(records, func(a, b Record) int { return strings.Compare(a.Host, b.Host) })
+			likely[dataCentre] = append(likely[dataCentre], records[:min(len(records), relaysPerDataCentre+extraProbes)]...)
 		}
 	}
 	return likely
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -171,11 +171,10 @@
 	fleetTotals.Add(localTotals)
 	t.addRemoteDigests(now, fleetTotals)
 	// The digests already include this router's own loads, tokens and retries.
-	withoutLoads := *own
-	withoutLoads.Loads, withoutLoads.WorkspaceTokens, withoutLoads.Retries, withoutLoads.Interest = nil, nil, nil, nil
+	withoutLoads := own.withoutLoads()
 	remote := t.remoteRelays(now)
 	recipients := len(members) + len(remote)
-	messages := t.dataCentreMessages(now, &withoutLoads, localTotals, remote, recipients)
+	messages := t.dataCentreMessages(now, withoutLoads, localTotals, remote, recipients)
 	live := t.Live(now)
 	for _, m := range members {
 		if m.digests == nil {
@@ -184,7 +183,7 @@
 		totals := fleetTotals.restrictedTo(m.interest)
 		totals.AddReport(m.report, now.Sub(m.reportedAt), -1)
 		digest := m.digests.next("", digestContent{totals: totals, members: live, interest: m.interest}, recipients)
-		messages = append(messages, Message{To: []string{m.record.Host}, Kind: KindMemberDigest, Envelope: Envelope{Report: &withoutLoads, Digest: digest}})
+		messages = append(messages, Message{To: []string{m.record.Host}, Kind: KindMemberDigest, Envelope: Envelope{Report: withoutLoads, Digest: digest}})
 	}
 	return messages
 }
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -74,6 +74,14 @@
 	Upstreams []string `cbor:"3,keyasint,omitempty"`
 }
 
+// withoutLoads returns a copy of a report with only what describes the router: its
+// record, its versions and their age.
+func (r *Report) withoutLoads() *Report {
+	short := *r
+	short.Loads, short.WorkspaceTokens, short.Retries, short.Interest = nil, nil, nil, nil
+	return &short
+}
+
 // versions are the parts of a report that other routers wait for.
 type versions struct {
 	state             State
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -116,12 +116,17 @@
 	}
 	x.pools.setRemote(now, totals, known)
 	// Of several routers with a newer version the first one is asked.
-	slices.SortStableFunc(reports, func(a, b *fleet.Report) int { return x.distanceRank(a) - x.distanceRank(b) })
+	x.sortByDistance(reports)
 	for _, r := range reports {
 		x.fetchNewer(now, r, true)
 	}
 }
 
+// sortByDistance sorts reports, those of the nearest routers first.
+func (x *exchange) sortByDistance(reports []*fleet.Report) {
+	slices.SortStableFunc(reports, func(a, b *fleet.Report) int { return x.distanceRank(a) - x.distanceRank(b) })
+}
+
 // distanceRank orders reports by how far their senders are.
 func (x *exchange) distanceRank(r *fleet.Report) int {
 	switch {
--- a/gateway/fetch.go
+++ b/gateway/fetch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -216,7 +215,7 @@
 	x.mu.Lock()
 	reports := x.table.Reports(time.Now())
 	x.mu.Unlock()
-	slices.SortStableFunc(reports, func(a, b *fleet.Report) int { return x.distanceRank(a) - x.distanceRank(b) })
+	x.sortByDistance(reports)
 	for _, r := range reports {
 		err := x.confirmWith(r.Host)
 		if err == nil {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -110,19 +110,23 @@
 
 // interest returns the upstreams whose loads this router needs to know, nil for all.
 func (p *pools) interest(now time.Time) *fleet.Interest {
-	var needed []string
-	all := true
+	limited := false
 	for _, pool := range p.enginePools {
-		ids, allOfPool := pool.Interest(now)
-		needed, all = append(needed, ids...), all && allOfPool
+		limited = limited || pool.Limited()
 	}
 	for _, pool := range p.plainPools {
-		ids, allOfPool := pool.Interest()
-		needed, all = append(needed, ids...), all && allOfPool
+		limited = limited || pool.Limited()
 	}
-	if all {
+	if !limited {
 		return nil
 	}
+	var needed []string
+	for _, pool := range p.enginePools {
+		needed = append(needed, pool.Interest(now)...)
+	}
+	for _, pool := range p.plainPools {
+		needed = append(needed, pool.Interest()...)
+	}
 	return &fleet.Interest{Upstreams: needed}
 }
 
--- a/placement/member.go
+++ b/placement/member.go
@@ -71,6 +71,7 @@
 	byID             map[string]*upstreamState
 	ordered          []*upstreamState // in the order given by SetUpstreams
 	withRemote       []*upstreamState // those with a remote load or ejections, some twice
+	limited          bool             // only some upstreams are considered for a request
 	seed             uint64           // of this router, for its choice of nearby upstreams
 	baselineFailures float64          // EWMA of the failure ratio of the service
 }
@@ -152,11 +153,16 @@
 	return 2*failing > len(candidates)
 }
 
+// Limited reports whether this router considers only some of the upstreams for a
+// request, and needs to know only their loads.
+func (set *upstreamSet) Limited() bool { return set.limited }
+
 // nearby returns the upstreams that this router considers for every request: all of
 // a small service, and of a large one some of each distance, those in its own data
 // centre first. Routers choose different ones, so that together they use all.
 func nearby[S interface{ base() *upstreamState }](set *upstreamSet, all []S) []S {
-	if len(all) <= maxCandidates {
+	set.limited = len(all) > maxCandidates
+	if !set.limited {
 		return all
 	}
 	var near, region, far []S
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -73,7 +73,7 @@
 // candidates returns the engines that are considered for a prompt with the given
 // homes.
 func (p *EnginePool) candidates(now time.Time, homes []*engine) []*engine {
-	if len(p.near) == len(p.order) {
+	if !p.limited {
 		return p.near
 	}
 	candidates := make([]*engine, 0, len(p.near)+len(homes))
@@ -87,15 +87,15 @@
 	return candidates
 }
 
-// Interest returns the ids of the engines whose loads this router needs to know, and
-// whether these are all of them.
-func (p *EnginePool) Interest(now time.Time) (ids []string, all bool) {
+// Interest returns the ids of the engines whose loads this router needs to know.
+func (p *EnginePool) Interest(now time.Time) []string {
+	var ids []string
 	for _, e := range p.order {
 		if e.near || !e.homeUsedAt.IsZero() && now.Sub(e.homeUsedAt) < partTTL {
 			ids = append(ids, e.upstream.ID)
 		}
 	}
-	return ids, len(p.near) == len(p.order)
+	return ids
 }
 
 // cachedParts returns how many of the prompt's parts an engine is assumed to have
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -69,13 +69,13 @@
 	p.near = nearby(&p.upstreamSet, p.order)
 }
 
-// Interest returns the ids of the upstreams whose loads this router needs to know,
-// and whether these are all of them.
-func (p *PlainPool) Interest() (ids []string, all bool) {
+// Interest returns the ids of the upstreams whose loads this router needs to know.
+func (p *PlainPool) Interest() []string {
+	var ids []string
 	for _, s := range p.near {
 		ids = append(ids, s.upstream.ID)
 	}
-	return ids, len(p.near) == len(p.order)
+	return ids
 }
 
 // Place chooses the upstream with the lowest predicted response time, adjusted for
--- a/versioned/history.go
+++ b/versioned/history.go
@@ -13,6 +13,8 @@
 	entries int           // in all steps
 	latest  *Roster
 	version int64 // of latest
+	// checksum is that of latest.
+	checksum uint64
 }
 
 // historyStep is the change from one version to a later one that the router had.
@@ -30,6 +32,9 @@
 		change := roster.ChangeSince(h.latest)
 		h.steps = append(h.steps, historyStep{from: h.version, to: version, change: change})
 		h.entries += change.size()
+		h.checksum = change.Checksum
+	} else {
+		h.checksum = roster.Checksum()
 	}
 	h.latest, h.version = roster, version
 	for h.entries > maxHistoryEntries {
@@ -65,7 +70,7 @@
 			ids[id] = true
 		}
 	}
-	merged := Change{Checksum: h.latest.Checksum()}
+	merged := Change{Checksum: h.checksum}
 	for id := range ids {
 		if u, known := h.latest.Get(id); known {
 			merged.Put = append(merged.Put, u)
