gateway: log and count how an upstream's response shows where it ends

The logs could not tell a response without a length or chunks from a chunked one, nor whether a stream ended inside an event. Lines about a request now have framing (length, chunks, connection) and unfinished, the bytes after the last whole event; lacewing_upstream_responses_total counts responses by framing. No decision changes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -40,6 +40,10 @@
 	upstream  string        // id of the upstream of the latest attempt
 	status    int           // of the latest response, from an upstream or this router; 0 before
 	firstByte time.Duration // from received until the response began
+	framing   framing       // of the latest upstream's response; empty before
+	// unfinished is the number of bytes that followed the last whole event when a
+	// stream ended.
+	unfinished int
 }
 
 func (c *call) workspaceName() string {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -237,6 +237,9 @@
 	if c.upstream != "" {
 		fields = append(fields, "upstream", c.upstream, "attempts", c.attempts)
 	}
+	if c.framing != "" {
+		fields = append(fields, "framing", c.framing, "unfinished", c.unfinished)
+	}
 	h.logger.Info(message, append(fields, details...)...)
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// responded counts a response of an upstream by its framing.
+func (m *requestMetrics) responded(f framing) {
+	m.set.GetOrCreateCounter(`lacewing_upstream_responses_total{framing="` + string(f) + `"}`).Inc()
+}
+
 // answered counts a request that an upstream has answered.
 func (m *requestMetrics) answered(c *call) {
 	m.answeredTotal[c.route.Kind].Inc()
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -109,6 +109,7 @@
 				pending = append(pending[:0], pending[end:]...)
 			}
 		}
+		c.unfinished = len(pending)
 		if errors.Is(err, io.EOF) {
 			return h.endStream(out, c, a, response, pending)
 		}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -91,7 +91,7 @@
 			h.pools.countRequest(now, c.service.Name)
 		}
 		c.attempts++
-		c.upstream = a.Upstream.ID
+		c.upstream, c.framing, c.unfinished = a.Upstream.ID, "", 0
 		c.tried = append(c.tried, a.Upstream.ID)
 		r := h.attempt(out, c, &a)
 		ejected := h.pools.ended(time.Now(), c, &a, r.outcome, r.attemptStatus != notRun)
@@ -256,6 +256,8 @@
 	headers := platform.ReadUpstreamResponse(response)
 	conns.setUpstreamTimeout(headers.IdleTimeout)
 	c.status = response.StatusCode
+	c.framing = framingOf(response)
+	h.metrics.responded(c.framing)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
 	switch {
 	case headers.RequestID != c.headers.ID:
