gateway: failing tests of streams without framing that break off

The stand-in's runners can answer without a length and chunks, and close or reset such an answer inside an event, in the middle or before the first event.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -33,6 +33,10 @@
 	AnonymousRepeat           // as RepeatedAnswer, without a request id in the second copy
 	Dripping                  // sends a comment line now and then in place of events
 	SlowStream                // pauses for SlowPause in the middle of a stream
+	Unframed                  // sends neither a length nor chunks; the connection ends the answer
+	UnframedCut               // as Unframed, and closes the connection inside an event of a stream
+	UnframedReset             // as Unframed, and resets the connection in the middle of an answer
+	UnframedEmpty             // as Unframed, and closes the connection before the first event of a stream
 )
 
 // SlowPause is the pause in a SlowStream. DripInterval is the time between two
@@ -221,6 +225,9 @@
 	if b == RepeatedAnswer || b == AnonymousRepeat {
 		r.repeatAnswer(request, b)
 	}
+	if b >= Unframed {
+		w.Header().Set("Transfer-Encoding", "identity") // net/http then leaves out the chunks
+	}
 	if b == Failing {
 		r.work(request, r.WorkTime)
 		w.WriteHeader(http.StatusInternalServerError)
@@ -320,15 +327,42 @@
 		return
 	}
 	body := PlainBody(request.Header.Get("Request-Id"))
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	if b == Truncating {
+	if b < Unframed {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	if b == Truncating || b == UnframedReset {
 		_, _ = w.Write([]byte(body[:len(body)/2]))
-		_ = http.NewResponseController(w).Flush()
-		panic(http.ErrAbortHandler)
+		breakOff(w, request, b)
 	}
 	_, _ = w.Write([]byte(body)) // an error means that the caller has disconnected
 }
 
+// breakOff sends what was written so far. Unless the behaviour is UnframedCut, it
+// ends the connection without a proper end of the answer.
+func breakOff(w http.ResponseWriter, request *http.Request, b Behaviour) {
+	_ = http.NewResponseController(w).Flush()
+	if b == UnframedCut {
+		return
+	}
+	if b == UnframedReset {
+		resetConnection(request)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection makes the connection of a request end with a reset.
+func resetConnection(request *http.Request) {
+	connection, ok := request.Context().Value(connectionKey{}).(*runnerConnection)
+	if !ok {
+		panic("request without a connection") // a bug in this package
+	}
+	tcp, ok := connection.Conn.(*net.TCPConn)
+	if !ok {
+		panic("connection is not TCP") // a bug in this package
+	}
+	_ = tcp.SetLinger(0) // an error means that the connection has ended
+}
+
 // readPrompt reads the parts of the prompt that are not cached, and reports whether
 // the caller is still connected.
 func (r *Runner) readPrompt(request *http.Request) bool {
@@ -397,10 +431,13 @@
 	controller := http.NewResponseController(w)
 	for i := last + 1; i <= r.Events; i++ {
 		event := StreamBody(i, i)
-		if b == Truncating && i > r.Events/2 {
+		if b == UnframedEmpty {
+			return
+		}
+		if (b == Truncating || b == UnframedCut || b == UnframedReset) && i > r.Events/2 {
 			_, _ = w.Write([]byte(event[:len(event)/2]))
-			_ = controller.Flush()
-			panic(http.ErrAbortHandler)
+			breakOff(w, request, b)
+			return
 		}
 		if b == Dripping && i > r.Events/2 {
 			r.drip(w, request)
--- /dev/null
+++ b/gateway/framing_test.go
@@ -0,0 +1,77 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingshift/lacewingshift/fake/site"
+)
+
+// cutsWithoutFraming are the ways in which an answer that only the end of its
+// connection ends can break off.
+var cutsWithoutFraming = map[string]site.Behaviour{
+	"inside an event": site.UnframedCut, "by a reset": site.UnframedReset, "before the first event": site.UnframedEmpty,
+}
+
+// Whole answers that end with their connection are relayed as complete.
+func TestAnswersWithoutFramingAreServed(t *testing.T) {
+	s := newSite(t, 1, 1)
+	r := s.start(true)
+	s.engines[0].SetBehaviour(site.Unframed)
+	s.plainRunners[0].SetBehaviour(site.Unframed)
+	got := r.ask(streamRequest(site.NonResumablePath))
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Equal(t, site.StreamBody(1, 6), got.body)
+	q := request{path: site.OrderPath + "1", id: newID()}
+	got = r.ask(q)
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Equal(t, site.PlainBody(q.id), got.body)
+}
+
+// A stream without framing that breaks off must not reach its caller as complete.
+func TestCutStreamWithoutFramingDoesNotLookComplete(t *testing.T) {
+	for name, b := range cutsWithoutFraming {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 1, 0)
+			r := s.start(true)
+			s.engines[0].SetBehaviour(b)
+			got := r.ask(streamRequest(site.NonResumablePath))
+			assert.True(t, got.err != nil || got.status == http.StatusBadGateway, "status %d, body %q", got.status, got.body)
+		})
+	}
+}
+
+// A resumable stream without framing that breaks off must continue at another engine
+// without missing or repeated events.
+func TestCutStreamWithoutFramingContinuesElsewhere(t *testing.T) {
+	for name, b := range cutsWithoutFraming {
+		t.Run(name, func(t *testing.T) {
+			s := newSite(t, 2, 0)
+			r := s.start(true)
+			for _, cut := range s.engines {
+				cut.SetBehaviour(b)
+				got := r.ask(streamRequest(site.StreamPath))
+				cut.SetBehaviour(site.Healthy)
+				require.NoError(t, got.err)
+				assert.Equal(t, http.StatusOK, got.status)
+				assert.Equal(t, site.StreamBody(1, 6), got.body)
+			}
+		})
+	}
+}
+
+// A plain answer without framing that is reset must not reach its caller as complete.
+func TestResetPlainAnswerWithoutFramingDoesNotLookComplete(t *testing.T) {
+	s := newSite(t, 0, 1)
+	r := s.start(true)
+	s.plainRunners[0].SetBehaviour(site.UnframedReset)
+	q := request{path: site.OrderPath + "1", id: newID()}
+	got := r.ask(q)
+	assert.True(t, got.err != nil || got.status == http.StatusBadGateway, "status %d, body %q", got.status, got.body)
+	assert.Equal(t, 1, s.runs(q.id))
+}
