gateway: a stream that ends inside an event has broken off

Cause: a response with neither a length nor chunks ends with its connection, and net/http reports io.EOF wherever that is. relayStream took each io.EOF for the end of the stream, sent on what was left of an event and closed its own chunked response as complete. The class of fault is taking the end of the transport for the end of the message: a router reframes what it relays, so it has to know from the content that the content is whole.

Change: package gateway splits streams with one scanner for all line endings (line feed, carriage return, both) and knows whether the bytes end inside an event. A stream that does has broken off: it continues at another upstream if its route allows that, otherwise the caller's connection is closed or it gets 502, and the upstream's health counts a failure. A stream without framing that ends before its first event counts as broken off too. Documents on routes for streams are passed on as before, if they have a length or chunks.

A cut between two events (hypothesis 3) cannot be told from a whole stream.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -33,6 +33,7 @@
 	AnonymousRepeat           // as RepeatedAnswer, without a request id in the second copy
 	Dripping                  // sends a comment line now and then in place of events
 	SlowStream                // pauses for SlowPause in the middle of a stream
+	DocumentAnswer            // answers a request for a stream with a JSON document
 	Unframed                  // sends neither a length nor chunks; the connection ends the answer
 	UnframedCut               // as Unframed, and closes the connection inside an event of a stream
 	UnframedReset             // as Unframed, and resets the connection in the middle of an answer
@@ -167,6 +168,9 @@
 // PlainBody returns the body of a plain response to a request.
 func PlainBody(id string) string { return strings.Repeat("answer to "+id+"\n", 20) }
 
+// Document is what a DocumentAnswer sends.
+const Document = `{"text":"answer"}`
+
 // StreamBody returns the events of a stream from one number to another.
 func StreamBody(from, to int) string {
 	var b strings.Builder
@@ -427,6 +431,11 @@
 		return
 	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	if b == DocumentAnswer {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, Document) // an error means that the caller has disconnected
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	for i := last + 1; i <= r.Events; i++ {
--- a/gateway/framing.go
+++ b/gateway/framing.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"mime"
 	"net/http"
 	"slices"
 )
@@ -26,3 +27,15 @@
 		return framedByConnection
 	}
 }
+
+// isEventStream reports whether the body of a response consists of server-sent events.
+// A response that states no content type on a route for streams does.
+func isEventStream(response *http.Response) bool {
+	contentType := response.Header.Get("Content-Type")
+	if contentType == "" {
+		return true
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	// A content type that cannot be parsed says nothing, as if it were missing.
+	return err != nil || mediaType == "text/event-stream"
+}
--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -75,3 +75,14 @@
 	assert.True(t, got.err != nil || got.status == http.StatusBadGateway, "status %d, body %q", got.status, got.body)
 	assert.Equal(t, 1, s.runs(q.id))
 }
+
+// A document in place of a stream, such as a moderation result, is no broken event.
+func TestDocumentOnStreamRouteIsServed(t *testing.T) {
+	s := newSite(t, 1, 0)
+	r := s.start(true)
+	s.engines[0].SetBehaviour(site.DocumentAnswer)
+	got := r.ask(streamRequest(site.NonResumablePath))
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusOK, got.status)
+	assert.Equal(t, site.Document, got.body)
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,10 +26,7 @@
 // errEventTooLarge ends a stream whose event exceeds maxEventBytes.
 var errEventTooLarge = eris.New("event is larger than the limit")
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+var idField = []byte("id:")
 
 // callerResponse is the response to a caller, across all attempts.
 type callerResponse struct {
@@ -90,30 +87,24 @@
 // that the stream can continue at another upstream. Only events count as progress; an
 // upstream that sends other bytes now and then has stalled.
 func (h *Handler) relayStream(ctx context.Context, out *callerResponse, c *call, a *assignment, response *http.Response, watchdog *watchdog) result {
-	var pending []byte
+	var events eventBuffer
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := response.Body.Read(chunk)
-		if n > 0 {
-			unseen := max(len(pending)-len(eventEnd)+1, 0)
-			pending = append(pending, chunk[:n]...)
-			if i := bytes.LastIndex(pending[unseen:], eventEnd); i >= 0 {
-				end := unseen + i + len(eventEnd)
-				before := out.events
-				if err := h.forward(out, c, a, response, pending[:end]); err != nil {
-					return result{answered, placement.Abandoned, "caller left"}
-				}
-				if out.events > before {
-					watchdog.reset()
-				}
-				pending = append(pending[:0], pending[end:]...)
+		if whole := events.add(chunk[:n]); whole != nil {
+			before := out.events
+			if err := h.forward(out, c, a, response, whole); err != nil {
+				return result{answered, placement.Abandoned, "caller left"}
+			}
+			if out.events > before {
+				watchdog.reset()
 			}
 		}
-		c.unfinished = len(pending)
+		c.unfinished = len(events.pending)
 		if errors.Is(err, io.EOF) {
-			return h.endStream(out, c, a, response, pending)
+			return h.endStream(out, c, a, response, &events)
 		}
-		if err == nil && len(pending) > maxEventBytes {
+		if err == nil && len(events.pending) > maxEventBytes {
 			err = errEventTooLarge
 		}
 		if err != nil {
@@ -124,9 +115,16 @@
 	}
 }
 
-// endStream relays what follows the last event and ends the response.
-func (h *Handler) endStream(out *callerResponse, c *call, a *assignment, response *http.Response, rest []byte) result {
-	if err := h.forward(out, c, a, response, rest); err != nil {
+// endStream ends the response after the last byte of a stream, or reports that the
+// stream broke off.
+func (h *Handler) endStream(out *callerResponse, c *call, a *assignment, response *http.Response, events *eventBuffer) result {
+	if events.insideEvent() && (isEventStream(response) || c.framing == framedByConnection) {
+		return result{maybeRan, placement.Failed, "stream broke off: it ended inside an event"}
+	}
+	if c.framing == framedByConnection && out.events == 0 && c.headers.LastEvent == "" {
+		return result{maybeRan, placement.Failed, "stream broke off: it ended before the first event"}
+	}
+	if err := h.forward(out, c, a, response, events.pending); err != nil {
 		return result{answered, placement.Abandoned, "caller left"}
 	}
 	h.metrics.answered(c)
