gateway: reset the connection of an HTTP/1.0 caller whose answer breaks off

A router that broke off a stream closed the connection, which such a caller cannot tell from the end of the stream. It is reset now. HTTP/1.1 callers miss the last chunk as before.

TestBrokenStreamDoesNotLookCompleteToHTTP10 failed before (no error after three events).

--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -1,8 +1,14 @@
 package gateway_test
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"net/http"
+	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -86,3 +92,23 @@
 	assert.Equal(t, http.StatusOK, got.status)
 	assert.Equal(t, site.Document, got.body)
 }
+
+// The response to an HTTP/1.0 caller ends with its connection, so a broken-off stream
+// has to end with a reset.
+func TestBrokenStreamDoesNotLookCompleteToHTTP10(t *testing.T) {
+	s := newSite(t, 1, 0)
+	r := s.start(true)
+	s.engines[0].SetBehaviour(site.Truncating)
+	connection, err := net.Dial("tcp", r.CallerAddress())
+	require.NoError(t, err)
+	defer connection.Close()
+	q := streamRequest(site.NonResumablePath).build(t.Context(), r.CallerAddress())
+	var head strings.Builder
+	fmt.Fprintf(&head, "POST %s HTTP/1.0\r\nHost: %s\r\nContent-Length: 0\r\n", q.URL.RequestURI(), q.Host)
+	require.NoError(t, q.Header.Write(&head))
+	_, err = io.WriteString(connection, head.String()+"\r\n")
+	require.NoError(t, err)
+	require.NoError(t, connection.SetReadDeadline(time.Now().Add(5*time.Second)))
+	answer, err := io.ReadAll(connection)
+	assert.ErrorIs(t, err, syscall.ECONNRESET, "answer: %s", answer)
+}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -111,7 +111,7 @@
 	if callerLeft(c.request) {
 		h.metrics.callersLeft.Inc()
 		h.log(c, "caller left", "reason", "before the request was sent on", "processor_wait", c.processorWait)
-		panic(http.ErrAbortHandler)
+		breakOff(c.request)
 	}
 }
 
--- a/gateway/left.go
+++ b/gateway/left.go
@@ -29,6 +29,18 @@
 	return ok && remoteClosed(connection)
 }
 
+// breakOff ends a request in such a way that its response does not look complete. A
+// response to an HTTP/1.0 caller ends with its connection, which is therefore reset. It
+// does not return.
+func breakOff(r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		if connection, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok {
+			_ = connection.SetLinger(0) // an error means that the connection has ended
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // remoteClosed reports whether the remote side has closed a connection, even if it
 // still holds unread bytes.
 func remoteClosed(connection net.Conn) bool {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -162,11 +162,11 @@
 	if out.started {
 		h.log(c, "request broken off", append([]any{"reason", reason, "events", out.events}, details...)...)
 		h.metrics.brokenOff.Inc()
-		panic(http.ErrAbortHandler)
+		breakOff(c.request)
 	}
 	if c.request.Context().Err() != nil {
 		h.log(c, "caller left", "reason", reason)
-		panic(http.ErrAbortHandler)
+		breakOff(c.request)
 	}
 	if !c.mayHaveRun {
 		h.refuse(out.w, c, retryAfter, reason, details...)
