--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,7 +136,8 @@
 	duration := time.Duration(300+f.rng.IntN(maxFaultMillis-300)) * time.Millisecond
 	modes := []mode{modeSlow, modeStall, modeStallToServer, modeStallToClient, modeRefuse}
 	m := modes[f.rng.IntN(len(modes))]
-	behaviours := []site.Behaviour{site.Failing, site.Shedding, site.Hanging, site.Truncating, site.Unsealed, site.Misdirected, site.WrongRequestID}
+	behaviours := []site.Behaviour{site.Failing, site.Shedding, site.Hanging, site.Truncating, site.Unsealed, site.Misdirected, site.WrongRequestID,
+		site.Unframed, site.UnframedCut, site.UnframedReset, site.UnframedEmpty}
 	b := behaviours[f.rng.IntN(len(behaviours))]
 	f.version += int64(1 + f.rng.IntN(5))
 	version := f.version
