placement, gateway, fleet: upstreams that leave, and upstreams that ask to be left alone

Cause: Server-Leaving and the Retry-After of an upstream's 503 were read nowhere. A leaving upstream got requests until the store said that it drains, which it cannot while the store is away, and an upstream that asked to be left alone counted as failing and got probes within its time.

Change: platform decodes both once (fractions, dates, bounds; a 421 comes from another instance and says nothing). placement.State has them beside ejection and probing, with one table of transitions; draining of the list of upstreams is the same state as leaving. Only a later incarnation ends leaving; what is known of an instance outlives a missing or outdated entry. A permission is checked again before a send: for assigned and reserved requests, after a pause and after connecting. After its time an upstream gets 1, 2, 4, .. 16 requests at a time. If all upstreams of a service ask to be left alone it refuses at once with the time until a place is free; the upstream's own figure is not passed on. Such refusals count as unmet demand, so the capacity that is left is shared out. Reports and digests carry the leaving upstreams.

Ruled out: a time limit on leaving (silence is no new incarnation); shortening by later answers (the rule holds for each answer by itself); counting such a 503 as a failure (it would eject the upstream beyond the time it asked for). Old routers ignore the new fields of reports and digests.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -78,6 +78,8 @@
 	listener      net.Listener
 	server        *http.Server
 	behaviour     atomic.Uint32
+	leaving       atomic.Bool
+	retryAfter    atomic.Pointer[string] // value of Retry-After; nil or empty to serve
 	endlessBytes  atomic.Int64
 	readLock      sync.Mutex // prompts are read one after the other
 	slotSemaphore chan struct{}
@@ -87,6 +89,8 @@
 	lastStart  time.Time      // start of the latest run
 	headers    map[string]http.Header
 	state      string
+	born       int64 // start of the incarnation in Unix milliseconds
+	arrivals   []Arrival
 	running    int
 	cached     map[string]bool // prompt prefixes whose parts are cached
 	tokensRead int             // prompt tokens read so far
@@ -94,6 +98,7 @@
 
 const (
 	defaultSlots = 8
+	firstBorn    = 1_700_000_000_000
 	// maxCachedPrefixes is the number of prefixes above which the cache is emptied.
 	maxCachedPrefixes = 4096
 )
@@ -104,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.store, r.listener, r.state = store, listener, "ready"
+	r.store, r.listener, r.state, r.born = store, listener, "ready", firstBorn
 	r.runs, r.headers, r.cached = map[string]int{}, map[string]http.Header{}, map[string]bool{}
 	if r.Slots == 0 {
 		r.Slots = defaultSlots
@@ -123,7 +128,7 @@
 	defer r.mu.Unlock()
 	r.store.Put("servers", r.ID, map[string]any{
 		"service": r.Service, "address": r.registeredAddress(), "zone": r.Zone, "slots": r.Slots, "state": r.state,
-		"version": "v1", "cold_left_ms": 0, "seq": 1, "born": 1700000000000,
+		"version": "v1", "cold_left_ms": 0, "seq": 1, "born": r.born,
 	})
 }
 
@@ -200,11 +205,16 @@
 	id := request.Header.Get("Request-Id")
 	b := Behaviour(r.behaviour.Load())
 	w.Header().Set("Request-Id", id)
+	turnedAway := r.arrive(w, id)
 	if target := request.Header.Get("Target-Instance"); b == Misdirected || target != "" && target != r.ID {
 		w.Header().Set("Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if turnedAway {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if b == Shedding {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -463,6 +473,7 @@
 			return
 		}
 	}
+	r.sendTrailer(w)
 }
 
 // drip sends comment lines until the caller closes the connection.
--- a/fleet/digest.go
+++ b/fleet/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
@@ -51,6 +52,9 @@
 	// longer live.
 	Members []Record     `cbor:"10,keyasint,omitempty"`
 	Gone    []GoneMember `cbor:"11,keyasint,omitempty"`
+	// Leaving holds the upstreams that leave; it is missing in most digests, see
+	// repeatedLeaving.
+	Leaving []placement.Instance `cbor:"12,keyasint,omitempty"`
 }
 
 // UpstreamSum is the load that several routers have in progress at one upstream.
@@ -116,6 +120,7 @@
 	upstreams     map[string]UpstreamSum // as sent
 	workspaces    map[string]WorkspaceSum
 	members       map[string]Record
+	leaving       repeatedLeaving
 }
 
 func newDigestWriter(epoch uint64) *digestWriter {
@@ -140,6 +145,7 @@
 	for _, change := range d.Workspaces {
 		setOrDelete(w.workspaces, change.Workspace, change, WorkspaceSum{Workspace: change.Workspace})
 	}
+	d.Leaving = w.leaving.next(slices.Collect(maps.Keys(content.totals.Leaving)))
 	membersLeft = w.addMembers(d, content.members)
 	d.Complete = !upstreamsLeft && !workspacesLeft && !membersLeft
 	return d
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -93,7 +93,7 @@
 		if t.sequence%knownInterval == 1 {
 			t.addKnown(own)
 		}
-		return []Message{{To: t.recipients(now), Kind: KindReport, Envelope: Envelope{Report: own}}}
+		return []Message{{To: t.recipients(now), Kind: KindReport, Envelope: Envelope{Report: t.withRepeatedLeaving(own)}}}
 	}
 	relays := t.relays(now, t.self.DataCentre)
 	active := t.isActiveRelay(now, relays)
@@ -101,7 +101,7 @@
 	if t.reportDue(now, own, slices.Contains(relays, t.self.Host)) {
 		t.reported, t.reportedAt = own.versions(), now
 		own.Interest = t.announceInterest(interest)
-		messages = append(messages, Message{To: t.otherHosts(relays), Kind: KindReport, Envelope: Envelope{Report: own}})
+		messages = append(messages, Message{To: t.otherHosts(relays), Kind: KindReport, Envelope: Envelope{Report: t.withRepeatedLeaving(own)}})
 	}
 	messages = append(messages, t.introductions(now, own, active)...)
 	if active {
@@ -114,6 +114,14 @@
 	return messages
 }
 
+// withRepeatedLeaving returns a copy of a report that lists the leaving upstreams only
+// if that is due.
+func (t *Table) withRepeatedLeaving(own *Report) *Report {
+	report := *own
+	report.Leaving = t.leaving.next(own.Leaving)
+	return &report
+}
+
 // reportDue reports whether the relays are due for a report. Relays report to each
 // other at each interval, because silence makes the next one take over.
 func (t *Table) reportDue(now time.Time, own *Report, isRelay bool) bool {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -62,6 +62,10 @@
 	// Interest lists the upstreams whose loads the sender needs from its relay; nil
 	// stands for what it has announced before, and for all before the first one.
 	Interest *Interest `cbor:"15,keyasint,omitempty"`
+	// Leaving lists the upstreams that say in their answers that they leave, while the
+	// sender's list of upstreams does not. It is missing in most messages, see
+	// repeatedLeaving.
+	Leaving []placement.Instance `cbor:"16,keyasint,omitempty"`
 }
 
 // Interest lists upstreams whose loads a router needs.
@@ -78,7 +82,7 @@
 // record, its versions and their age.
 func (r *Report) withoutLoads() *Report {
 	short := *r
-	short.Loads, short.WorkspaceTokens, short.Retries, short.Interest = nil, nil, nil, nil
+	short.Loads, short.WorkspaceTokens, short.Retries, short.Interest, short.Leaving = nil, nil, nil, nil, nil
 	return &short
 }
 
@@ -86,10 +90,11 @@
 type versions struct {
 	state             State
 	config, upstreams int64
+	leaving           int // number of upstreams
 }
 
 func (r *Report) versions() versions {
-	return versions{state: r.State, config: r.ConfigVersion, upstreams: r.UpstreamsVersion}
+	return versions{state: r.State, config: r.ConfigVersion, upstreams: r.UpstreamsVersion, leaving: len(r.Leaving)}
 }
 
 // StoreAge returns StoreAgeMs as a duration.
--- a/fleet/stream.go
+++ b/fleet/stream.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"time"
+
+	"github.com/lacewingshift/lacewingshift/placement"
+)
 
 // streamState is what the digests of one stream have conveyed.
 type streamState struct {
@@ -78,6 +82,10 @@
 func (st *streamState) apply(d *Digest) {
 	t := st.totals
 	t.Routers, t.AgeMs, t.Retries = d.Routers, d.AgeMs, d.Retries
+	t.Leaving = make(map[placement.Instance]bool, len(d.Leaving))
+	for _, i := range d.Leaving {
+		t.Leaving[i] = true
+	}
 	for _, sum := range d.Upstreams {
 		t.setUpstream(sum)
 	}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -65,6 +65,7 @@
 	reported   versions
 	reportedAt time.Time
 	interest   announcedInterest
+	leaving    repeatedLeaving
 
 	// streams holds the digests received, by the host of the relay.
 	streams map[string]*stream
--- a/fleet/totals.go
+++ b/fleet/totals.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/budget"
@@ -21,6 +22,8 @@
 	// WorkspaceTokens is keyed by workspace, Retries by service.
 	WorkspaceTokens map[string]fairshare.Tokens
 	Retries         map[string]budget.Counts
+	// Leaving holds the upstreams that leave, as at least one router says.
+	Leaving map[placement.Instance]bool
 }
 
 // NewTotals returns empty totals.
@@ -28,6 +31,7 @@
 	return &Totals{
 		Loads: map[string]placement.Load{}, Failing: map[string]int{},
 		WorkspaceTokens: map[string]fairshare.Tokens{}, Retries: map[string]budget.Counts{},
+		Leaving: map[placement.Instance]bool{},
 	}
 }
 
@@ -46,7 +50,8 @@
 	return &older
 }
 
-// AddReport adds a report of the given age, or with sign -1 subtracts it.
+// AddReport adds a report of the given age, or with sign -1 subtracts it. Upstreams that
+// leave are only added, as they never come back.
 func (t *Totals) AddReport(r *Report, age time.Duration, sign int) {
 	t.Routers += sign
 	t.AgeMs += int64(sign) * age.Milliseconds()
@@ -62,6 +67,9 @@
 	for service, counts := range r.Retries {
 		t.Retries[service] = t.Retries[service].Plus(counts, sign)
 	}
+	for _, i := range r.Leaving {
+		t.Leaving[i] = true
+	}
 }
 
 // Add adds other totals.
@@ -80,6 +88,7 @@
 	for service, counts := range other.Retries {
 		t.Retries[service] = t.Retries[service].Plus(counts, 1)
 	}
+	maps.Copy(t.Leaving, other.Leaving)
 }
 
 // restrictedTo returns the totals with only the loads of the upstreams in interest,
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -32,7 +32,7 @@
 	route := &catalog.Route{Name: "r", Host: site.Host, Prefix: "/", Kind: catalog.Stream, Backends: []catalog.Backend{{Service: "s", Weight: 1}}, Timeout: time.Second, TargetLatency: time.Second}
 	keys := map[string]*catalog.Workspace{site.Key: {Name: "w"}}
 	table := catalog.NewTable(1, []*catalog.Route{route}, []*catalog.Service{service}, keys, catalog.Limits{TokensPerSecond: 1000, BodyBytes: 1 << 20, HeaderBytes: 1 << 14}, true)
-	p.configure(table, func(string) []catalog.Upstream { return nil })
+	p.configure(time.Now(), table, func(string) []catalog.Upstream { return nil })
 	p.setRemote(now, &fleet.Totals{WorkspaceTokens: map[string]fairshare.Tokens{"w": {Requested: 9000, Granted: 6000}, "other": {Requested: 9000, Granted: 500}}}, 1)
 	config := versioned.NewLatest[platform.Config]()
 	config.Update(platform.Config{Table: table}, 1, versioned.Store, now)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -40,7 +40,9 @@
 	upstream  string        // id of the upstream of the latest attempt
 	status    int           // of the latest response, from an upstream or this router; 0 before
 	firstByte time.Duration // from received until the response began
-	framing   framing       // of the latest upstream's response; empty before
+	// leaveAlone is set if the latest upstream asked for no requests for a time.
+	leaveAlone bool
+	framing    framing // of the latest upstream's response; empty before
 	// unfinished is the number of bytes that followed the last whole event when a
 	// stream ended.
 	unfinished int
@@ -63,6 +65,14 @@
 	return remaining
 }
 
+// failureOutcome returns what a failed answer says about its upstream.
+func (c *call) failureOutcome() placement.Outcome {
+	if c.leaveAlone {
+		return placement.Deferred
+	}
+	return placement.Failed
+}
+
 // expectedOutput estimates the tokens that an engine will generate.
 func (c *call) expectedOutput() int {
 	if c.headers.OutputHint > 0 {
--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -57,7 +58,14 @@
 func newTransport(idleTimeout time.Duration, maxIdle int) *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			connection, err := dialer.DialContext(ctx, network, address)
+			if err == nil && !hasPermission(ctx) {
+				connection.Close()
+				return nil, errWithheld
+			}
+			return connection, err
+		},
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -92,3 +100,19 @@
 	c.idleTimeout, c.reusable = idleTimeout, newTransport(idleTimeout, c.maxIdle)
 	old.CloseIdleConnections()
 }
+
+// permissionKey is the context key of a function that reports whether a request may
+// still be sent.
+type permissionKey struct{}
+
+// withPermission adds such a function to the context of a request.
+func withPermission(ctx context.Context, permitted func() bool) context.Context {
+	return context.WithValue(ctx, permissionKey{}, permitted)
+}
+
+// hasPermission reports whether the request of a context may still be sent. Connecting
+// takes time in which the permission may have ended.
+func hasPermission(ctx context.Context) bool {
+	permitted, ok := ctx.Value(permissionKey{}).(func() bool)
+	return !ok || permitted()
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/placement"
 )
 
@@ -20,6 +21,23 @@
 	plainPool  *placement.PlainPool
 }
 
+// upstreams returns the pool that the upstream belongs to.
+func (a *assignment) upstreams() upstreamPool {
+	if a.plainPool != nil {
+		return a.plainPool
+	}
+	return a.enginePool
+}
+
+// heldBackFields returns the log fields of an upstream that was preferred but must not
+// get the request, nil if there is none.
+func (a *assignment) heldBackFields() []any {
+	if a.HeldBack.Upstream == "" {
+		return nil
+	}
+	return []any{"held_back", a.HeldBack.Upstream, "held_back_as", a.HeldBack.State, "held_back_age", a.HeldBack.Age.Round(time.Millisecond)}
+}
+
 // shareUse is what a workspace has used of its share, as seen by one router.
 type shareUse struct {
 	within     bool          // the request is within the share
@@ -74,14 +92,14 @@
 	// The first attempt has already been charged to the share, so that a retry is
 	// placed with usage 0.
 	a.share = shareUse{within: true}
-	if c.attempts == 0 {
+	if len(c.tried) == 0 {
 		p.meter.AddRequested(now, workspace, a.cost)
 		a.share = p.fillBuckets(now, workspace, a.cost)
 	}
 	request := c.engineRequest(a.share)
 	a.Decision = a.enginePool.Place(now, request)
 	if a.Refused() {
-		if a.Reason == placement.Overloaded {
+		if a.Reason == placement.Overloaded || a.Reason == placement.AllLeftAlone {
 			p.meter.AddRefused(now, workspace, a.cost)
 		}
 		return a
@@ -95,6 +113,42 @@
 	return a
 }
 
+// saysLeaving records that the upstream of an assignment says that it leaves, and
+// reports whether that is news.
+func (p *pools) saysLeaving(now time.Time, a *assignment) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return a.upstreams().MarkLeaving(now, placement.Instance{Upstream: a.Upstream.ID, StartedMs: a.Upstream.StartedMs})
+}
+
+// leaveAlone records that the upstream of an assignment asks for no requests for a time.
+// It returns by how much the time grew.
+func (p *pools) leaveAlone(now time.Time, a *assignment, wait time.Duration) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return a.upstreams().LeaveAlone(now, a.ticket, wait)
+}
+
+// maySend reports whether an assigned request may still be sent to its upstream.
+func (p *pools) maySend(now time.Time, a *assignment) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return a.upstreams().MaySend(now, a.ticket)
+}
+
+// freeIn returns the time until an upstream of a service may get a request.
+func (p *pools) freeIn(now time.Time, service *catalog.Service) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if service.Engine == nil {
+		return p.plainPool(service.Name).FreeIn(now)
+	}
+	if pool := p.enginePools[service.Name]; pool != nil {
+		return pool.FreeIn(now)
+	}
+	return 0
+}
+
 // countRefused counts a request that this router refuses before placement. Its
 // tokens count as requested, so that other workspaces do not use the share of this
 // one as spare capacity.
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -25,7 +25,7 @@
 	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 8, MemoryTokens: 1 << 20}}
 	table := catalog.NewTable(1, nil, []*catalog.Service{service}, nil, catalog.Limits{TokensPerSecond: 1000}, false)
 	upstreams := []catalog.Upstream{{ID: "e-1", DataCentre: "a"}, {ID: "e-2", DataCentre: "a"}}
-	p.configure(table, func(string) []catalog.Upstream { return upstreams })
+	p.configure(time.Now(), table, func(string) []catalog.Upstream { return upstreams })
 	// The workspace was granted three times its share and another one has unmet
 	// demand.
 	p.setRemote(now, &fleet.Totals{WorkspaceTokens: map[string]fairshare.Tokens{
@@ -56,7 +56,7 @@
 	p := newPools(placement.Location{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, 4*time.Second, now)
 	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 8, MemoryTokens: 1 << 20}}
 	table := catalog.NewTable(1, nil, []*catalog.Service{service}, nil, catalog.Limits{TokensPerSecond: 1000}, false)
-	p.configure(table, func(string) []catalog.Upstream { return nil })
+	p.configure(time.Now(), table, func(string) []catalog.Upstream { return nil })
 	c := &call{
 		request: &http.Request{}, service: service, workspace: &catalog.Workspace{Name: "refused"},
 		headers: platform.CallerRequest{PromptTokens: 9000},
@@ -85,7 +85,7 @@
 	var chosen [2][]string
 	for router := range chosen {
 		p := newPools(placement.Location{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, 4*time.Second, start.Add(time.Duration(router)))
-		p.configure(table, func(string) []catalog.Upstream { return upstreams })
+		p.configure(time.Now(), table, func(string) []catalog.Upstream { return upstreams })
 		for range 40 {
 			c := &call{request: &http.Request{}, service: service, route: &catalog.Route{}, deadline: start.Add(time.Second)}
 			chosen[router] = append(chosen[router], p.assign(start, c).Upstream.ID)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -114,7 +114,9 @@
 	for _, m := range messages {
 		x.transport.Send(m.to, peer.PartFleet, m.body)
 	}
-	x.pools.setRemote(now, totals, known)
+	for _, upstream := range x.pools.setRemote(now, totals, known) {
+		x.logger.Info("upstream leaves", "upstream", upstream, "source", versioned.Peer)
+	}
 	// Of several routers with a newer version the first one is asked.
 	x.sortByDistance(reports)
 	for _, r := range reports {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -116,7 +116,7 @@
 	g.handler = &Handler{
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: metrics,
 		stopState: g.state, requestArrived: g.requestArrived,
-		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, mayAct: g.exchange.mayAct, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
+		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, mayAct: g.exchange.mayAct, triggerReport: g.exchange.triggerReport, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
 	}
 	g.addGauges()
 	return g, g.listen(options)
@@ -336,7 +336,7 @@
 		config, upstreams := g.config.Get(), g.upstreams.Get()
 		if config.Version > 0 && upstreams.Value != nil {
 			g.exchange.remember(upstreams)
-			g.pools.configure(config.Value.Table, upstreams.Value.Service)
+			g.pools.configure(time.Now(), config.Value.Table, upstreams.Value.Service)
 			g.configured.Store(true)
 			if g.state() == shutdown.Serving {
 				g.exchange.setState(fleet.Ready)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -57,6 +57,8 @@
 	// mayAct reports whether the configuration and the upstreams may be used; after a
 	// pause of the process they have to be confirmed first.
 	mayAct func() bool
+	// triggerReport tells the other routers what this one has learnt.
+	triggerReport func()
 	// manyConnections reports whether callers hold so many connections that they
 	// are closed after each response.
 	manyConnections func() bool
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	brokenOff      *metrics.Counter
 	callersLeft    *metrics.Counter
 	attemptsFailed *metrics.Counter
+	sendsWithheld  *metrics.Counter
 	processorWait  *metrics.Histogram
 	usageAtGrant   *metrics.Histogram
 	reportAge      *metrics.Histogram
@@ -38,6 +39,7 @@
 		brokenOff:      set.NewCounter(`lacewing_requests_broken_off_total`),
 		callersLeft:    set.NewCounter(`lacewing_callers_left_early_total`),
 		attemptsFailed: set.NewCounter(`lacewing_attempts_failed_total`),
+		sendsWithheld:  set.NewCounter(`lacewing_sends_withheld_total`),
 		processorWait:  set.NewHistogram(`lacewing_processor_wait_seconds`),
 		usageAtGrant:   set.NewHistogram(`lacewing_usage_at_grant`),
 		reportAge:      set.NewHistogram(`lacewing_report_age_seconds`),
@@ -61,8 +63,12 @@
 	m.set.GetOrCreateCounter(`lacewing_refusals_total{reason="` + reason + `"}`).Inc()
 }
 
-// assigned records the share that decided about a request to an engine.
+// assigned records what decided about a request: an upstream that must not get it, and
+// the share of its workspace.
 func (m *requestMetrics) assigned(a *assignment) {
+	if a.HeldBack.Upstream != "" {
+		m.set.GetOrCreateCounter(`lacewing_upstreams_passed_over_total{state="` + a.HeldBack.State.String() + `"}`).Inc()
+	}
 	if a.share.share <= 0 {
 		return
 	}
@@ -72,6 +78,11 @@
 	}
 }
 
+// leftAlone counts the time for which an upstream of a service is left alone.
+func (m *requestMetrics) leftAlone(service string, d time.Duration) {
+	m.set.GetOrCreateFloatCounter(`lacewing_upstream_left_alone_seconds_total{service="` + service + `"}`).Add(d.Seconds())
+}
+
 // responded counts a response of an upstream by its framing.
 func (m *requestMetrics) responded(f framing) {
 	m.set.GetOrCreateCounter(`lacewing_upstream_responses_total{framing="` + string(f) + `"}`).Inc()
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -51,14 +51,14 @@
 }
 
 // configure applies a configuration and its services' upstreams.
-func (p *pools) configure(table *catalog.Table, upstreams func(service string) []catalog.Upstream) {
+func (p *pools) configure(now time.Time, table *catalog.Table, upstreams func(service string) []catalog.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.capacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
 	for _, service := range table.Services() {
 		list := upstreams(service.Name)
 		if service.Engine == nil {
-			p.plainPool(service.Name).SetUpstreams(list)
+			p.plainPool(service.Name).SetUpstreams(now, list)
 			continue
 		}
 		pool := p.enginePools[service.Name]
@@ -66,10 +66,35 @@
 			pool = placement.NewEnginePool(placement.DefaultEnginePolicy(), p.location, p.regions, p.seed)
 			p.enginePools[service.Name] = pool
 		}
-		pool.SetUpstreams(list, *service.Engine, table.Limits.TokensPerSecond)
+		pool.SetUpstreams(now, list, *service.Engine, table.Limits.TokensPerSecond)
 	}
 }
 
+// upstreamPool is what the pools of engines and of plain upstreams have in common.
+type upstreamPool interface {
+	Loads(now time.Time) []placement.Load
+	Limited() bool
+	SetRemote(loads map[string]placement.Load, failing map[string]int)
+	Lists(i placement.Instance) bool
+	LeavingInstances() []placement.Instance
+	MarkLeaving(now time.Time, i placement.Instance) bool
+	LeaveAlone(now time.Time, t *placement.Ticket, wait time.Duration) time.Duration
+	MaySend(now time.Time, t *placement.Ticket) bool
+	FreeIn(now time.Time) time.Duration
+}
+
+// all returns the pools of all services. The caller must hold mu.
+func (p *pools) all() []upstreamPool {
+	all := make([]upstreamPool, 0, len(p.enginePools)+len(p.plainPools))
+	for _, pool := range p.enginePools {
+		all = append(all, pool)
+	}
+	for _, pool := range p.plainPools {
+		all = append(all, pool)
+	}
+	return all
+}
+
 func (p *pools) plainPool(service string) *placement.PlainPool {
 	pool := p.plainPools[service]
 	if pool == nil {
@@ -92,11 +117,9 @@
 func (p *pools) fillReport(now time.Time, r *fleet.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, pool := range p.enginePools {
-		r.Loads = append(r.Loads, pool.Loads(now)...)
-	}
-	for _, pool := range p.plainPools {
+	for _, pool := range p.all() {
 		r.Loads = append(r.Loads, pool.Loads(now)...)
+		r.Leaving = append(r.Leaving, pool.LeavingInstances()...)
 	}
 	r.Interest = p.interest(now)
 	r.WorkspaceTokens = p.meter.Sums(now)
@@ -111,10 +134,7 @@
 // interest returns the upstreams whose loads this router needs to know, nil for all.
 func (p *pools) interest(now time.Time) *fleet.Interest {
 	limited := false
-	for _, pool := range p.enginePools {
-		limited = limited || pool.Limited()
-	}
-	for _, pool := range p.plainPools {
+	for _, pool := range p.all() {
 		limited = limited || pool.Limited()
 	}
 	if !limited {
@@ -130,21 +150,25 @@
 	return &fleet.Interest{Upstreams: needed}
 }
 
-// setRemote sets the sums over the other routers.
-func (p *pools) setRemote(now time.Time, totals *fleet.Totals, knownRouters int) {
+// setRemote sets the sums over the other routers. It returns the upstreams of which
+// they say, as news, that they leave.
+func (p *pools) setRemote(now time.Time, totals *fleet.Totals, knownRouters int) (leaving []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.remoteTokens, p.remoteRetries = totals.WorkspaceTokens, totals.Retries
 	p.reportingRouters, p.knownRouters, p.remoteAt, p.remoteAge = totals.Routers, knownRouters, now, totals.MeanAge()
-	for _, pool := range p.enginePools {
-		pool.SetRemote(totals.Loads, totals.Failing)
-	}
-	for _, pool := range p.plainPools {
+	for _, pool := range p.all() {
 		pool.SetRemote(totals.Loads, totals.Failing)
+		for i := range totals.Leaving {
+			if pool.Lists(i) && pool.MarkLeaving(now, i) {
+				leaving = append(leaving, i.Upstream)
+			}
+		}
 	}
 	p.computeShares(now)
 	p.shareBuckets.DropIdle(now)
 	p.spareBuckets.DropIdle(now)
+	return leaving
 }
 
 // computeShares recomputes the shares from the tokens of all workspaces.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -58,6 +59,11 @@
 	c.firstByte = time.Since(c.received)
 	h.pools.firstEvent(time.Now(), a)
 	platform.CopyHeaders(out.w.Header(), response.Header)
+	if c.leaveAlone {
+		// The time that the upstream asked for is not when the caller is served.
+		retryAfter := max(h.pools.freeIn(time.Now(), c.service), placement.Jitter(placement.MinRetryAfter, rand.Float64()))
+		platform.SetRouterHeaders(out.w.Header(), "", retryAfter)
+	}
 	if len(buffered) < bufferLimit && response.ContentLength < 0 && c.request.Method != http.MethodHead {
 		// The size of the body is known now; sending it lets the caller detect
 		// truncation.
@@ -75,10 +81,11 @@
 			return r
 		}
 	}
+	h.noteTrailer(c, a, response)
 	h.metrics.answered(c)
 	outcome := placement.Succeeded
 	if response.StatusCode >= 500 {
-		outcome = placement.Failed
+		outcome = c.failureOutcome()
 	}
 	return result{answered, outcome, "answered"}
 }
@@ -118,6 +125,7 @@
 // endStream ends the response after the last byte of a stream, or reports that the
 // stream broke off.
 func (h *Handler) endStream(out *callerResponse, c *call, a *assignment, response *http.Response, events *eventBuffer) result {
+	h.noteTrailer(c, a, response)
 	if events.insideEvent() && (isEventStream(response) || c.framing == framedByConnection) {
 		return result{maybeRan, placement.Failed, "stream broke off: it ended inside an event"}
 	}
@@ -131,6 +139,13 @@
 	return result{answered, placement.Succeeded, "answered"}
 }
 
+// noteTrailer records what an upstream says about itself at the end of a response.
+func (h *Handler) noteTrailer(c *call, a *assignment, response *http.Response) {
+	if platform.TrailerSaysLeaving(response) {
+		h.noteLeaving(time.Now(), c, a)
+	}
+}
+
 // forward sends whole events to the caller.
 func (h *Handler) forward(out *callerResponse, c *call, a *assignment, response *http.Response, events []byte) error {
 	now := time.Now()
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	errDeadline = eris.New("request deadline exceeded")
 )
 
+// errWithheld ends an attempt whose permission to send has ended before it was sent.
+var errWithheld = eris.New("upstream must not get the request any more")
+
 const (
 	// minStreamTimeout is the shortest silence after which a stream is moved to
 	// another upstream.
@@ -79,15 +83,15 @@
 		}
 		a, ok := h.nextAssignment(now, c)
 		if !ok {
-			h.giveUp(out, c, http.StatusBadGateway, "no further attempt allowed", notReadyRetry)
+			h.giveUp(out, c, http.StatusBadGateway, "no further attempt allowed", max(notReadyRetry, h.pools.freeIn(now, c.service)))
 			return
 		}
 		h.metrics.assigned(&a)
 		if a.Refused() {
-			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, append([]any{"wait", a.Wait}, a.shareFields()...)...)
+			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, slices.Concat([]any{"wait", a.Wait}, a.shareFields(), a.heldBackFields())...)
 			return
 		}
-		if c.attempts == 0 {
+		if len(c.tried) == 0 {
 			h.pools.countRequest(now, c.service.Name)
 		}
 		c.attempts++
@@ -99,10 +103,14 @@
 			h.logger.Warn("upstream ejected", "upstream", c.upstream, "request", c.headers.ID, "reason", r.reason)
 		}
 		if r.attemptStatus == answered {
-			h.log(c, "request ended", append([]any{"reason", r.reason, "wait", a.Wait, "first", c.firstByte,
-				"read", a.ReadTokens, "rank", a.Rank, "events", out.events, "pause", out.eventGap}, a.shareFields()...)...)
+			h.log(c, "request ended", slices.Concat([]any{"reason", r.reason, "wait", a.Wait, "first", c.firstByte,
+				"read", a.ReadTokens, "rank", a.Rank, "events", out.events, "pause", out.eventGap}, a.shareFields(), a.heldBackFields())...)
 			return
 		}
+		if r.outcome == placement.Withheld {
+			c.attempts-- // nothing has reached the upstream
+			h.metrics.sendsWithheld.Inc()
+		}
 		c.mayHaveRun = c.mayHaveRun || r.attemptStatus == maybeRan
 		h.metrics.attemptsFailed.Inc()
 		h.log(c, "attempt failed", "reason", r.reason, "may_have_run", r.attemptStatus == maybeRan, "wait", a.Wait)
@@ -187,6 +195,11 @@
 	watchdog := h.newWatchdog(c, cancel)
 	defer watchdog.stop()
 
+	permitted := func() bool { return h.mayAct() && h.pools.maySend(time.Now(), a) }
+	if !permitted() {
+		return classify(ctx, errWithheld, false, false)
+	}
+	ctx = withPermission(ctx, permitted)
 	var connected, wrote atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:      func(httptrace.GotConnInfo) { connected.Store(true) },
@@ -210,6 +223,8 @@
 		status = notRun
 	}
 	switch {
+	case errors.Is(err, errWithheld):
+		return result{notRun, placement.Withheld, errWithheld.Error()}
 	case errors.Is(cause, errSilent):
 		return result{status, placement.Failed, "upstream is silent"}
 	case errors.Is(cause, errDeadline):
@@ -259,21 +274,53 @@
 	c.framing = framingOf(response)
 	h.metrics.responded(c.framing)
 	success := response.StatusCode >= 200 && response.StatusCode < 300
-	switch {
-	case headers.RequestID != c.headers.ID:
+	if headers.RequestID != c.headers.ID {
 		return result{maybeRan, placement.Failed, "answer belongs to another request"}
+	}
+	h.noteUpstream(c, a, &headers)
+	switch {
+	case headers.NotRun && c.leaveAlone:
+		return result{notRun, placement.Deferred, "upstream asks to be left alone"}
 	case headers.NotRun:
 		return result{notRun, placement.Rejected, "upstream did not run the request"}
 	case !headers.Sealed || headers.Encoded:
 		return result{maybeRan, placement.Failed, "answer is not the upstream's own"}
 	case !success && response.StatusCode >= 500 && c.route.Retryable() && h.canRetry(c):
-		return result{maybeRan, placement.Failed, "upstream failed"}
+		return result{maybeRan, c.failureOutcome(), "upstream failed"}
 	case success && c.route.Kind == catalog.Stream:
 		return h.relayStream(ctx, out, c, a, response, watchdog)
 	}
 	return h.relayBuffered(ctx, out, c, a, response)
 }
 
+// noteUpstream records what an upstream says about itself, before its answer is passed
+// on.
+func (h *Handler) noteUpstream(c *call, a *assignment, headers *platform.UpstreamResponse) {
+	now := time.Now()
+	if headers.Leaving {
+		h.noteLeaving(now, c, a)
+	}
+	if headers.RetryAfterErr != nil {
+		h.log(c, "time to wait of an upstream cannot be used", "err", headers.RetryAfterErr)
+	}
+	c.leaveAlone = headers.RetryAfter > 0
+	if !c.leaveAlone {
+		return
+	}
+	if grew := h.pools.leaveAlone(now, a, headers.RetryAfter); grew > 0 {
+		h.metrics.leftAlone(c.service.Name, grew)
+		h.log(c, "upstream is left alone", "for", headers.RetryAfter, "grew", grew)
+	}
+}
+
+// noteLeaving records that the upstream of an attempt says that it leaves.
+func (h *Handler) noteLeaving(now time.Time, c *call, a *assignment) {
+	if h.pools.saysLeaving(now, a) {
+		h.logger.Info("upstream leaves", "upstream", c.upstream, "source", "answer", "request", c.headers.ID)
+		h.triggerReport()
+	}
+}
+
 // canRetry reports whether another attempt is likely to be allowed.
 func (h *Handler) canRetry(c *call) bool {
 	return c.attempts < c.route.MaxAttempts && c.remaining(time.Now()) > minRemaining
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -106,7 +106,7 @@
 	}
 	table := catalog.NewTable(1, nil, []*catalog.Service{simService}, nil, catalog.Limits{TokensPerSecond: simCapacity}, false)
 	p := newPools(placement.Location{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, simWindow, s.now.Add(time.Duration(len(s.pools))))
-	p.configure(table, func(string) []catalog.Upstream { return upstreams })
+	p.configure(time.Now(), table, func(string) []catalog.Upstream { return upstreams })
 	s.pools = append(s.pools, p)
 }
 
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
@@ -125,10 +126,10 @@
 // SetUpstreams replaces the engines. Instances that remain keep their state.
 // engineSpec holds the slots and memory of each engine; tokensPerSecond is what all
 // engines process together.
-func (p *EnginePool) SetUpstreams(upstreams []catalog.Upstream, engineSpec catalog.Engine, tokensPerSecond float64) {
+func (p *EnginePool) SetUpstreams(now time.Time, upstreams []catalog.Upstream, engineSpec catalog.Engine, tokensPerSecond float64) {
 	p.engine = engineSpec
 	p.priorRate = priorRateFactor * tokensPerSecond / 1000 / float64(max(len(upstreams), 1))
-	p.engines, p.order = updateUpstreams(&p.upstreamSet, p.engines, upstreams, func() *engine {
+	p.engines, p.order = updateUpstreams(now, &p.upstreamSet, p.engines, upstreams, func() *engine {
 		return &engine{partLastUsed: map[uint64]time.Time{}}
 	})
 	p.near = nearby(&p.upstreamSet, p.order)
@@ -164,8 +165,16 @@
 	maxWait := p.maxWait(r)
 	var best, shortest *candidate
 	usable := false
+	var barred barredUpstreams
 	for _, e := range candidates {
-		if e.excluded(r.Exclude) || !panicking && !e.usable(now) {
+		if slices.Contains(r.Exclude, e.upstream.ID) {
+			continue
+		}
+		if e.barred(now) {
+			barred.add(now, &e.upstreamState, rank(homes, e))
+			continue
+		}
+		if !panicking && !e.usable(now) {
 			continue
 		}
 		usable = true
@@ -181,15 +190,19 @@
 		}
 	}
 	if !usable {
-		return Decision{Reason: NoUpstream, RetryAfter: minEjection}
+		return barred.refuse(p.rng.Float64())
 	}
 	if best == nil {
 		return p.refuse(r, shortest, maxWait)
 	}
-	return Decision{
+	d := Decision{
 		Upstream: best.engine.upstream, ReadTokens: best.readTokens, Rank: best.rank,
 		Wait: time.Duration(best.wait * float64(time.Millisecond)),
 	}
+	if barred.rank < best.rank {
+		d.HeldBack = barred.first
+	}
+	return d
 }
 
 // admits reports whether the request may go to the candidate. Rereading shared
--- a/placement/health_test.go
+++ b/placement/health_test.go
@@ -18,7 +18,7 @@
 	for i := range upstreams {
 		list = append(list, catalog.Upstream{ID: fmt.Sprintf("p%d", i), DataCentre: "a", Slots: 6})
 	}
-	p.SetUpstreams(list)
+	p.SetUpstreams(start, list)
 	return p
 }
 
@@ -103,7 +103,7 @@
 func TestRestartedInstanceHasFreshState(t *testing.T) {
 	p := plainPool(1)
 	ticket := p.Sent(start, catalog.Upstream{ID: "p0", DataCentre: "a", Slots: 6})
-	p.SetUpstreams([]catalog.Upstream{{ID: "p0", DataCentre: "a", Slots: 6, StartedMs: 5}})
+	p.SetUpstreams(start, []catalog.Upstream{{ID: "p0", DataCentre: "a", Slots: 6, StartedMs: 5}})
 	assert.Empty(t, p.Loads(start))
 	p.Ended(start, ticket, Unreachable)
 	assert.False(t, p.Place(start, PlainRequest{Remaining: time.Second}).Refused())
@@ -112,7 +112,7 @@
 // Draining upstreams and those already tried are not chosen.
 func TestExcludedUpstreams(t *testing.T) {
 	p := plainPool(2)
-	p.SetUpstreams([]catalog.Upstream{{ID: "p0", Draining: true}, {ID: "p1"}})
+	p.SetUpstreams(start, []catalog.Upstream{{ID: "p0", Draining: true}, {ID: "p1"}})
 	assert.Equal(t, "p1", p.Place(start, PlainRequest{Remaining: time.Second}).Upstream.ID)
 	assert.Equal(t, NoUpstream, p.Place(start, PlainRequest{Remaining: time.Second, Exclude: []string{"p1"}}).Reason)
 }
--- a/placement/member.go
+++ b/placement/member.go
@@ -39,10 +39,8 @@
 	return s.health.usable(now) && s.ejectedBy < ejectionQuorum
 }
 
-// excluded reports whether the upstream is draining or was already tried.
-func (s *upstreamState) excluded(tried []string) bool {
-	return s.upstream.Draining || slices.Contains(tried, s.upstream.ID)
-}
+// barred reports whether the upstream must not get one more request.
+func (s *upstreamState) barred(now time.Time) bool { return s.health.barred(now, s.own.Requests) }
 
 // base returns the state itself; it lets updateUpstreams handle both kinds of
 // upstreams.
@@ -72,23 +70,39 @@
 	ordered          []*upstreamState // in the order given by SetUpstreams
 	withRemote       []*upstreamState // those with a remote load or ejections, some twice
 	limited          bool             // only some upstreams are considered for a request
+	former           formerStates     // of instances that are no longer listed
 	seed             uint64           // of this router, for its choice of nearby upstreams
 	baselineFailures float64          // EWMA of the failure ratio of the service
 }
 
 // updateUpstreams replaces the upstreams of set and returns their states by id and in
-// order. Instances that remain keep their state, new ones get a fresh one.
-func updateUpstreams[S interface{ base() *upstreamState }](set *upstreamSet, old map[string]S, upstreams []catalog.Upstream, fresh func() S) (map[string]S, []S) {
+// order. Instances that remain keep their state, new ones get a fresh one. Only a later
+// incarnation ends what is known of a leaving upstream.
+func updateUpstreams[S interface{ base() *upstreamState }](now time.Time, set *upstreamSet, old map[string]S, upstreams []catalog.Upstream, fresh func() S) (map[string]S, []S) {
 	current := make(map[string]S, len(upstreams))
 	order := make([]S, 0, len(upstreams))
 	set.byID = make(map[string]*upstreamState, len(upstreams))
 	set.ordered = make([]*upstreamState, 0, len(upstreams))
+	listed := make(map[string]catalog.Upstream, len(upstreams))
+	for _, u := range upstreams {
+		listed[u.ID] = u
+	}
+	for id, state := range old {
+		if common := state.base(); !common.upstream.SameInstance(listed[id]) {
+			set.former.put(instance(common.upstream), common.health)
+			delete(old, id)
+		}
+	}
 	for _, u := range upstreams {
 		state, known := old[u.ID]
-		if !known || !state.base().upstream.SameInstance(u) {
+		if !known {
 			state = fresh()
+			state.base().health = set.former.take(now, instance(u))
 		}
 		common := state.base()
+		if u.Draining {
+			common.health.leave(now)
+		}
 		common.upstream, common.idHash = u, xxhash.Sum64String(u.ID)
 		current[u.ID] = state
 		order = append(order, state)
@@ -140,17 +154,21 @@
 	return state
 }
 
-// panicMode reports whether more than half of the candidates for a request are
-// unusable. All are then used again: either the cause lies elsewhere or there is
+// panicMode reports whether more than half of the candidates for a request that may get
+// it are failing. All are then used again: either the cause lies elsewhere or there is
 // nothing better.
 func panicMode[S interface{ base() *upstreamState }](now time.Time, candidates []S) bool {
-	failing := 0
+	failing, allowed := 0, 0
 	for _, state := range candidates {
+		if state.base().barred(now) {
+			continue
+		}
+		allowed++
 		if !state.base().usable(now) {
 			failing++
 		}
 	}
-	return 2*failing > len(candidates)
+	return 2*failing > allowed
 }
 
 // Limited reports whether this router considers only some of the upstreams for a
@@ -169,7 +187,7 @@
 	for _, state := range all {
 		upstream := state.base().upstream
 		switch {
-		case upstream.Draining:
+		case !state.base().health.leavingSince.IsZero():
 		case upstream.DataCentre == set.location.DataCentre:
 			near = append(near, state)
 		case set.regions[upstream.DataCentre] == set.location.Region:
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -41,7 +41,7 @@
 	homes := make([]*engine, 0, maxHomes+1)
 	weights := make([]uint64, 0, maxHomes+1)
 	for _, e := range p.order {
-		if e.upstream.Draining {
+		if !e.health.leavingSince.IsZero() {
 			continue
 		}
 		weight := rendezvous(shared, e.idHash)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -43,6 +43,9 @@
 	NoUpstream Reason = "no upstream"
 	Overloaded Reason = "overloaded"
 	OverShare  Reason = "over its share"
+	// AllLeftAlone: each upstream that is not failing or leaving asked for no requests
+	// for a time.
+	AllLeftAlone Reason = "upstreams ask to be left alone"
 )
 
 // Location is the data centre and region of a router.
@@ -63,6 +66,8 @@
 	// Reason and RetryAfter describe a refusal.
 	Reason     Reason
 	RetryAfter time.Duration
+	// HeldBack is the upstream that was preferred but must not get the request.
+	HeldBack HeldBack
 }
 
 // Refused reports whether the request was given no upstream.
@@ -90,6 +95,8 @@
 	Rejected            // the upstream had no capacity
 	Unreachable         // no connection
 	Abandoned           // cancelled by the caller or this router
+	Deferred            // the upstream asked for no requests for a time
+	Withheld            // not sent, as the upstream must not get it any more
 )
 
 // MinRetryAfter is the shortest time after which a refused caller may retry: about
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
@@ -64,8 +65,8 @@
 }
 
 // SetUpstreams replaces the upstreams. Instances that remain keep their state.
-func (p *PlainPool) SetUpstreams(upstreams []catalog.Upstream) {
-	p.states, p.order = updateUpstreams(&p.upstreamSet, p.states, upstreams, func() *plainUpstream { return &plainUpstream{} })
+func (p *PlainPool) SetUpstreams(now time.Time, upstreams []catalog.Upstream) {
+	p.states, p.order = updateUpstreams(now, &p.upstreamSet, p.states, upstreams, func() *plainUpstream { return &plainUpstream{} })
 	p.near = nearby(&p.upstreamSet, p.order)
 }
 
@@ -84,8 +85,16 @@
 	panicking := panicMode(now, p.near)
 	var best *plainUpstream
 	var bestCost, bestTimeMs float64
+	var barred barredUpstreams
 	for _, s := range p.near {
-		if s.excluded(r.Exclude) || !panicking && !s.usable(now) {
+		if slices.Contains(r.Exclude, s.upstream.ID) {
+			continue
+		}
+		if s.barred(now) {
+			barred.add(now, &s.upstreamState, 0)
+			continue
+		}
+		if !panicking && !s.usable(now) {
 			continue
 		}
 		predicted := s.predictTime(p.time)
@@ -98,14 +107,14 @@
 		}
 	}
 	if best == nil {
-		return Decision{Reason: NoUpstream, RetryAfter: minEjection}
+		return barred.refuse(p.rng.Float64())
 	}
 	wait := time.Duration(bestTimeMs * float64(time.Millisecond))
 	if float64(wait) > p.policy.MaxWait*float64(r.Remaining) {
 		excess := wait - time.Duration(p.policy.MaxWait*float64(r.Remaining))
 		return Decision{Reason: Overloaded, RetryAfter: Jitter(excess+MinRetryAfter, p.rng.Float64()), Wait: wait}
 	}
-	return Decision{Upstream: best.upstream, Wait: wait}
+	return Decision{Upstream: best.upstream, Wait: wait, HeldBack: barred.first}
 }
 
 // predictTime returns the expected response time in ms of one more request.
--- a/placement/sim_test.go
+++ b/placement/sim_test.go
@@ -80,7 +80,7 @@
 	}
 	for i := range simRouters {
 		pool := NewEnginePool(DefaultEnginePolicy(), Location{"a", "r"}, map[string]string{"a": "r"}, uint64(i))
-		pool.SetUpstreams(upstreams, catalog.Engine{Slots: 64, MemoryTokens: 600_000}, simEngines*simRate*1000/priorRateFactor)
+		pool.SetUpstreams(start, upstreams, catalog.Engine{Slots: 64, MemoryTokens: 600_000}, simEngines*simRate*1000/priorRateFactor)
 		s.routers = append(s.routers, pool)
 	}
 	return s
