soak: runners that leave and start again, and that ask to be left alone

The soak draws both beside the other faults, and checks from what the runners see that no router sends later than 2.5 s after it passed on an answer that said so, and at most two requests from half a second after such an answer to the end of its time. Restarts, pauses and cut paths excuse a router.

--- a/fake/site/leaving.go
+++ b/fake/site/leaving.go
@@ -10,6 +10,8 @@
 type Arrival struct {
 	ID string
 	At time.Time
+	// Born is the start of the incarnation that it reached, in Unix milliseconds.
+	Born int64
 	// Leaving is set if the answer said that the runner leaves.
 	Leaving bool
 	// Wait is for how long the answer asked to be left alone.
@@ -58,6 +60,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	arrival.Born = r.born
 	r.arrivals = append(r.arrivals, arrival)
 	return turnedAway
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,6 +79,7 @@
 	stop()
 	callers.Wait()
 	checkOutcomes(t, d, outcomeLog.all(), faultsEnded)
+	checkRequests(t, d, outcomeLog.all(), injector.disturbed)
 	for _, r := range drained {
 		delay := r.LastStart().Sub(injector.drainedAt)
 		assert.Less(t, delay, drainLimit, "runner %s received a request too long after it announced that it was leaving", r.ID)
@@ -110,6 +111,9 @@
 	injected  []string       // time and name of each fault, for the test log
 	version   int64          // last configuration version
 	drainedAt time.Time      // when the runners started to leave
+
+	mu        sync.Mutex
+	disturbed []disturbance
 }
 
 const maxFaultMillis = 2500
@@ -127,6 +131,7 @@
 	for _, r := range f.d.runners {
 		r.SetBehaviour(site.Healthy)
 		r.proxy.setMode(modeOpen)
+		r.Restart()
 	}
 }
 
@@ -139,18 +144,25 @@
 	behaviours := []site.Behaviour{site.Failing, site.Shedding, site.Hanging, site.Truncating, site.Unsealed, site.Misdirected, site.WrongRequestID,
 		site.Unframed, site.UnframedCut, site.UnframedReset, site.UnframedEmpty}
 	b := behaviours[f.rng.IntN(len(behaviours))]
+	wait := 1 + 3*f.rng.Float64()
 	f.version += int64(1 + f.rng.IntN(5))
 	version := f.version
 	choices := []struct {
 		name   string
 		inject func()
 	}{
-		{fmt.Sprintf("restart router %d with SIGTERM", router.index), func() { router.restartAfter(syscall.SIGTERM, 200*time.Millisecond) }},
-		{fmt.Sprintf("restart router %d with SIGKILL", router.index), func() { router.restartAfter(syscall.SIGKILL, 200*time.Millisecond) }},
+		{fmt.Sprintf("restart router %d with SIGTERM", router.index), func() {
+			f.disturb(router.CallerAddress(), func() { router.restartAfter(syscall.SIGTERM, 200*time.Millisecond) })
+		}},
+		{fmt.Sprintf("restart router %d with SIGKILL", router.index), func() {
+			f.disturb(router.CallerAddress(), func() { router.restartAfter(syscall.SIGKILL, 200*time.Millisecond) })
+		}},
 		{fmt.Sprintf("stop router %d for %v", router.index, duration), func() {
-			router.signal(syscall.SIGSTOP)
-			time.Sleep(duration)
-			router.signal(syscall.SIGCONT)
+			f.disturb(router.CallerAddress(), func() {
+				router.signal(syscall.SIGSTOP)
+				time.Sleep(duration)
+				router.signal(syscall.SIGCONT)
+			})
 		}},
 		{fmt.Sprintf("send SIGHUP to router %d", router.index), func() { router.signal(syscall.SIGHUP) }},
 		{fmt.Sprintf("store proxy of router %d in mode %d for %v", router.index, m, duration), func() {
@@ -159,11 +171,23 @@
 			router.store.setMode(modeOpen)
 		}},
 		{fmt.Sprintf("proxy of runner %s in mode %d for %v", runner.ID, m, duration), func() {
-			runner.proxy.setMode(m)
+			f.disturb(runner.ID, func() {
+				runner.proxy.setMode(m)
+				time.Sleep(duration)
+				runner.proxy.setMode(modeOpen)
+			})
+		}},
+		{fmt.Sprintf("reset connections of %s", runner.ID), func() { f.disturb(runner.ID, runner.proxy.reset) }},
+		{fmt.Sprintf("runner %s leaves for %v and starts again", runner.ID, leavingTime), func() {
+			runner.SetLeaving(true)
+			time.Sleep(leavingTime)
+			runner.Restart()
+		}},
+		{fmt.Sprintf("runner %s asks for %.1f s for %v", runner.ID, wait, duration), func() {
+			runner.SetRetryAfter(fmt.Sprintf("%.1f", wait))
 			time.Sleep(duration)
-			runner.proxy.setMode(modeOpen)
+			runner.SetRetryAfter("")
 		}},
-		{fmt.Sprintf("reset connections of %s", runner.ID), runner.proxy.reset},
 		{fmt.Sprintf("runner %s with behaviour %d for %v", runner.ID, b, duration), func() {
 			runner.SetBehaviour(b)
 			time.Sleep(duration)
