--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -35,7 +35,7 @@
 		since    int64
 		maxBytes int
 	}{{0, 70_000}, {2, 500}, {5, 50}, {99, 70_000}} {
-		encoded, err := x.upstreamsResponse(test.since)
+		encoded, _, err := x.upstreamsResponse(test.since)
 		require.NoError(t, err)
 		assert.LessOrEqual(t, len(encoded), test.maxBytes, "since %d", test.since)
 		var response upstreamsResponse
--- a/gateway/fetch.go
+++ b/gateway/fetch.go
@@ -25,6 +25,14 @@
 	itemVersions item = "versions"
 )
 
+// Kinds of responses to fetches, for the metric of bytes that are sent to other routers.
+const (
+	kindConfig    fleet.Kind = "fetch_config"
+	kindChanges   fleet.Kind = "fetch_upstream_changes"
+	kindUpstreams fleet.Kind = "fetch_upstreams"
+	kindVersions  fleet.Kind = "fetch_versions"
+)
+
 // fetchRequest is the wire form of a request for the newest version of an item.
 type fetchRequest struct {
 	Item item `cbor:"1,keyasint"`
@@ -157,49 +165,70 @@
 }
 
 // serveFetch answers other routers that fetch a newer version.
-func (x *exchange) serveFetch(_ context.Context, _ string, body []byte) ([]byte, error) {
+func (x *exchange) serveFetch(_ context.Context, host string, body []byte) ([]byte, error) {
 	var request fetchRequest
 	if err := cbor.Unmarshal(body, &request); err != nil {
 		return nil, eris.Wrap(fleet.ErrMessage, err.Error())
 	}
+	response, kind, err := x.fetchResponse(request)
+	if err != nil {
+		return nil, err
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.sentBytes(kind, x.table.Distance(host), len(response))
+	return response, nil
+}
+
+// fetchResponse returns the encoded response to a fetch and its kind.
+func (x *exchange) fetchResponse(request fetchRequest) ([]byte, fleet.Kind, error) {
 	switch request.Item {
 	case itemConfig:
-		current := x.config.Get()
-		if current.Version == 0 {
-			return nil, eris.New("no configuration known")
-		}
-		x.wholeMu.Lock()
-		defer x.wholeMu.Unlock()
-		return x.wholeConfig.get(current.Version, func() ([]byte, error) { return current.Value.Spec, nil })
+		response, err := x.configResponse()
+		return response, kindConfig, err
 	case itemUpstreams:
 		return x.upstreamsResponse(request.Since)
 	case itemVersions:
-		return cbor.Marshal(versionsResponse{Config: x.config.Get().Version, Upstreams: x.upstreams.Get().Version})
+		response, err := cbor.Marshal(versionsResponse{Config: x.config.Get().Version, Upstreams: x.upstreams.Get().Version})
+		return response, kindVersions, err
 	default:
-		return nil, eris.Errorf("item %q is not known", request.Item)
+		return nil, "", eris.Errorf("item %q is not known", request.Item)
+	}
+}
+
+// configResponse returns the compressed configuration.
+func (x *exchange) configResponse() ([]byte, error) {
+	current := x.config.Get()
+	if current.Version == 0 {
+		return nil, eris.New("no configuration known")
 	}
+	x.wholeMu.Lock()
+	defer x.wholeMu.Unlock()
+	return x.wholeConfig.get(current.Version, func() ([]byte, error) { return current.Value.Spec, nil })
 }
 
 // upstreamsResponse returns the encoded changes of the upstreams since a version, or
 // all upstreams if the history does not go back that far.
-func (x *exchange) upstreamsResponse(since int64) ([]byte, error) {
+func (x *exchange) upstreamsResponse(since int64) ([]byte, fleet.Kind, error) {
 	x.mu.Lock()
 	roster, version := x.history.Latest()
 	change, ok := x.history.Since(since)
 	x.mu.Unlock()
 	if roster == nil {
-		return nil, eris.New("no upstreams known")
+		return nil, "", eris.New("no upstreams known")
 	}
 	if ok {
-		return cbor.Marshal(upstreamsResponse{Version: version, Change: &change})
+		response, err := cbor.Marshal(upstreamsResponse{Version: version, Change: &change})
+		return response, kindChanges, err
 	}
 	x.wholeMu.Lock()
 	defer x.wholeMu.Unlock()
 	whole, err := x.wholeRoster.get(version, func() ([]byte, error) { return cbor.Marshal(roster.All()) })
 	if err != nil {
-		return nil, eris.Wrap(err, "encode upstreams")
+		return nil, "", eris.Wrap(err, "encode upstreams")
 	}
-	return cbor.Marshal(upstreamsResponse{Version: version, Whole: whole})
+	response, err := cbor.Marshal(upstreamsResponse{Version: version, Whole: whole})
+	return response, kindUpstreams, err
 }
 
 // remember keeps a roster for upstreamsResponse.
