catalog, versioned: rosters do not depend on the store's revision of an entry

Cause: the checksum of a roster included the store's revision of each entry, which nothing else used. Watchers of two regions that first saw an entry at different revisions, as after each heartbeat that changes its seq, held rosters with different checksums, so a change from one did not apply to the other and the whole roster was fetched. The field is gone; an entry of which only the revision differs is equal, which Registry.Put had as a special case.

TestEntriesWrittenAgainGiveTheSameRoster failed before (checksums differ). TestEntryWrittenAgainIsNoChange no longer sets revisions, since entries have none; that decoding drops them is in the new test. Routers of both builds differ in checksums and fetch whole rosters from each other, as they do after any mismatch.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -190,8 +190,6 @@
 	// ID it identifies the instance: an instance that restarts under the same id
 	// has lost its caches and its requests.
 	StartedMs int64 `cbor:"7,keyasint,omitempty"`
-	// Revision is the store's revision of the entry.
-	Revision int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // SameInstance reports whether u and other are the same run of the same upstream.
--- a/versioned/roster.go
+++ b/versioned/roster.go
@@ -118,7 +118,7 @@
 	for _, text := range []string{u.ID, u.Service, u.Address, u.DataCentre} {
 		buffer = append(append(buffer, text...), 0)
 	}
-	for _, number := range []int64{int64(u.Slots), u.StartedMs, u.Revision} {
+	for _, number := range []int64{int64(u.Slots), u.StartedMs} {
 		buffer = binary.LittleEndian.AppendUint64(buffer, uint64(number))
 	}
 	return xxhash.Sum64(strconv.AppendBool(buffer, u.Draining))
@@ -180,17 +180,11 @@
 	}
 }
 
-// Put adds or updates an entry and reports whether that changes the roster. An entry
-// of which only the revision differs is not updated, because every router would have
-// to learn of it.
+// Put adds or updates an entry and reports whether that changes the roster.
 func (r *Registry) Put(now time.Time, u catalog.Upstream) (changed bool) {
 	r.StoreAnswered(now)
-	if old, known := r.entries[u.ID]; known {
-		unchanged := u
-		unchanged.Revision = old.Revision
-		if unchanged == old {
-			return false
-		}
+	if r.entries[u.ID] == u {
+		return false
 	}
 	delete(r.missing, u.ID)
 	r.entries[u.ID] = u
