gateway: an upstream's idle timeout applies to that upstream only

Cause: one transport for all upstreams of a service, which was replaced, and its idle connections closed, whenever an answer stated another idle timeout than the one before. Upstreams with different ones closed each other's connections at each answer, and the shortest one of a service could be missed by the next.

Change: transports by how long they keep idle connections; each upstream that states a timeout has its own, by address. Timeouts are bounded by a minute, and so is the number of transports.

--- a/gateway/connections.go
+++ b/gateway/connections.go
@@ -19,6 +19,11 @@
 	// idle connection, so that no request is sent on a connection that the upstream
 	// is closing.
 	idleTimeoutMargin = time.Second
+	// maxUpstreamTimeout bounds the timeouts that upstreams state, and so the number of
+	// transports: they state whole seconds.
+	maxUpstreamTimeout = time.Minute
+	// maxIdleTimeouts bounds the upstreams whose timeouts are kept for one service.
+	maxIdleTimeouts = 8192
 	// maxIdleRatio is the fraction of an upstream's connection limit that all routers
 	// together may keep idle, which leaves room for new connections.
 	maxIdleRatio = 0.5
@@ -32,9 +37,12 @@
 type connections struct {
 	maxIdle int // maximum number of idle connections to one upstream
 
-	mu          sync.Mutex
-	idleTimeout time.Duration   // of reusable
-	reusable    *http.Transport // for requests that may be retried
+	mu sync.Mutex
+	// idleTimeouts is keyed by the address of an upstream that has stated one.
+	idleTimeouts map[string]time.Duration
+	// reusable holds the transports for requests that may be retried, by how long
+	// they keep idle connections.
+	reusable map[time.Duration]*http.Transport
 	// fresh uses each connection once, for requests that must not be retried: an
 	// upstream may have closed an idle connection, or send a second copy of the
 	// answer before on it, and it is then unknown whether the request ran.
@@ -51,7 +59,7 @@
 	fresh := newTransport(defaultIdleTimeout, maxIdle)
 	fresh.DisableKeepAlives = true
 	return &connections{
-		maxIdle: maxIdle, idleTimeout: defaultIdleTimeout, reusable: newTransport(defaultIdleTimeout, maxIdle), fresh: fresh,
+		maxIdle: maxIdle, idleTimeouts: map[string]time.Duration{}, reusable: map[time.Duration]*http.Transport{}, fresh: fresh,
 	}
 }
 
@@ -74,31 +82,39 @@
 	}
 }
 
-// transport returns the transport for a request.
-func (c *connections) transport(retryable bool) *http.Transport {
+// transport returns the transport for a request to the upstream at an address.
+func (c *connections) transport(address string, retryable bool) *http.Transport {
+	if !retryable {
+		return c.fresh
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if retryable {
-		return c.reusable
+	idleTimeout, stated := c.idleTimeouts[address]
+	if !stated {
+		idleTimeout = defaultIdleTimeout
+	}
+	t := c.reusable[idleTimeout]
+	if t == nil {
+		t = newTransport(idleTimeout, c.maxIdle)
+		c.reusable[idleTimeout] = t
 	}
-	return c.fresh
+	return t
 }
 
-// setUpstreamTimeout adapts the idle timeout to timeout, the one that an upstream
-// states; 0 or less changes nothing.
-func (c *connections) setUpstreamTimeout(timeout time.Duration) {
+// setUpstreamTimeout sets the timeout that the upstream at an address states for its
+// idle connections; 0 or less changes nothing. Connections that are idle in another
+// transport are used no more and end by its timeout.
+func (c *connections) setUpstreamTimeout(address string, timeout time.Duration) {
 	if timeout <= 0 {
 		return
 	}
-	idleTimeout := max(timeout-idleTimeoutMargin, timeout/2)
+	timeout = min(timeout, maxUpstreamTimeout)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if idleTimeout == c.idleTimeout {
-		return
+	if len(c.idleTimeouts) >= maxIdleTimeouts {
+		clear(c.idleTimeouts) // most are of upstreams that are gone
 	}
-	old := c.reusable
-	c.idleTimeout, c.reusable = idleTimeout, newTransport(idleTimeout, c.maxIdle)
-	old.CloseIdleConnections()
+	c.idleTimeouts[address] = max(timeout-idleTimeoutMargin, timeout/2)
 }
 
 // permissionKey is the context key of a function that reports whether a request may
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -206,7 +206,7 @@
 		WroteHeaders: func() { wrote.Store(true) },
 	})
 	conns := h.connections(c.service)
-	response, err := conns.transport(c.route.Retryable()).RoundTrip(h.upstreamRequest(ctx, out, c, a))
+	response, err := conns.transport(a.Upstream.Address, c.route.Retryable()).RoundTrip(h.upstreamRequest(ctx, out, c, a))
 	if err != nil {
 		return classify(ctx, err, connected.Load(), wrote.Load())
 	}
@@ -269,7 +269,7 @@
 // relayResponse checks a response and relays it.
 func (h *Handler) relayResponse(ctx context.Context, out *callerResponse, c *call, a *assignment, response *http.Response, conns *connections, watchdog *watchdog) result {
 	headers := platform.ReadUpstreamResponse(response)
-	conns.setUpstreamTimeout(headers.IdleTimeout)
+	conns.setUpstreamTimeout(a.Upstream.Address, headers.IdleTimeout)
 	c.status = response.StatusCode
 	c.framing = framingOf(response)
 	h.metrics.responded(c.framing)
