placement: an earlier start time alone does not bar an instance

An entry with an earlier start than one that was listed before counted as outdated for good, but a host whose clock was set back writes one too, and the store's list never goes back by itself. Only an instance that started no later than one that said it leaves is barred; times for which instances want to be left alone are kept alike.

TestEarlierStartTimeIsUsedUnlessALaterOneLeft fails on the version before (no upstream).

--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
@@ -20,78 +19,95 @@
 // instance returns the run that an entry of an upstream describes.
 func instance(u catalog.Upstream) Instance { return Instance{Upstream: u.ID, StartedMs: u.StartedMs} }
 
-// formerStates keeps the states of instances that are not listed, since an entry can
-// be missing or outdated while the instance still runs.
+// formerStates keeps what is known of instances that were listed before, since an entry
+// can be missing or outdated while the instance still runs.
 type formerStates struct {
 	byID  map[string]formerState
 	order []string // ids, oldest first
 }
 
+// formerState is what is known of the earlier instances of one upstream.
 type formerState struct {
-	startedMs int64
-	health    health
+	listedMs int64 // start of the instance that was listed last
+	// leftMs is the latest start of an instance that leaves. Those that started before
+	// have ended. left is set if there is one.
+	leftMs int64
+	left   bool
+	// alone says for how long instances that started until aloneMs want to be left
+	// alone.
+	aloneMs int64
+	alone   health
 }
 
-// put keeps what is known of an instance, unless a later one is known.
-func (f *formerStates) put(i Instance, h health) {
+// update changes what is known of an upstream.
+func (f *formerStates) update(id string, change func(*formerState)) {
 	if f.byID == nil {
 		f.byID = map[string]formerState{}
 	}
-	kept, known := f.byID[i.Upstream]
-	if known && i.StartedMs < kept.startedMs {
-		return
-	}
+	former, known := f.byID[id]
+	change(&former)
+	f.byID[id] = former
 	if !known {
-		f.order = append(f.order, i.Upstream)
+		f.order = append(f.order, id)
 	}
-	// Requests that are in progress meanwhile have no effect on the failures kept here.
-	f.byID[i.Upstream] = formerState{startedMs: i.StartedMs, health: health{
-		leavingSince: h.leavingSince, leftAloneSince: h.leftAloneSince, leftAloneUntil: h.leftAloneUntil, returning: h.returning,
-	}}
 	for len(f.order) > maxFormer {
 		delete(f.byID, f.order[0])
 		f.order = f.order[1:]
 	}
 }
 
-// take returns what is known of an instance that is listed, and forgets it unless it is
-// about a later one: an entry of an instance before that is outdated.
+// put keeps the state of an instance that is no longer listed. Its failures are not
+// kept: requests that are in progress meanwhile have no effect on them.
+func (f *formerStates) put(i Instance, h health) {
+	f.update(i.Upstream, func(former *formerState) {
+		former.listedMs = i.StartedMs
+		if !h.leavingSince.IsZero() {
+			former.leave(i.StartedMs)
+		}
+		if !h.leftAloneUntil.IsZero() {
+			former.aloneMs = max(former.aloneMs, i.StartedMs)
+		}
+		if h.leftAloneUntil.After(former.alone.leftAloneUntil) {
+			former.alone = health{leftAloneSince: h.leftAloneSince, leftAloneUntil: h.leftAloneUntil, returning: h.returning}
+		}
+	})
+}
+
+// take returns the state of an instance that is listed now.
 func (f *formerStates) take(now time.Time, i Instance) health {
 	former, known := f.byID[i.Upstream]
 	if !known {
 		return health{}
 	}
-	if i.StartedMs < former.startedMs {
-		return health{leavingSince: now}
+	var h health
+	if i.StartedMs <= former.aloneMs {
+		h = former.alone
 	}
-	delete(f.byID, i.Upstream)
-	f.order = slices.DeleteFunc(f.order, func(id string) bool { return id == i.Upstream })
-	if i.StartedMs > former.startedMs {
-		return health{}
+	if former.hasLeft(i.StartedMs) {
+		h.leavingSince = now
+	}
+	return h
+}
+
+// leave records that an instance leaves. It reports whether that is news.
+func (f *formerState) leave(startedMs int64) bool {
+	if f.hasLeft(startedMs) {
+		return false
 	}
-	return former.health
+	f.left, f.leftMs = true, startedMs
+	return true
 }
 
+// hasLeft reports whether an instance leaves or has left.
+func (f *formerState) hasLeft(startedMs int64) bool { return f.left && startedMs <= f.leftMs }
+
 // MarkLeaving records that an instance leaves, as one of its answers or another router
 // says. It reports whether that is news.
-func (set *upstreamSet) MarkLeaving(now time.Time, i Instance) bool {
-	state := set.byID[i.Upstream]
-	switch {
-	case state != nil && i.StartedMs < state.upstream.StartedMs:
-		return false // the instance before the present one
-	case state != nil && i.StartedMs == state.upstream.StartedMs:
-		return state.health.leave(now)
-	}
-	former, known := set.former.byID[i.Upstream]
-	if known && i.StartedMs < former.startedMs {
-		return false
+func (set *upstreamSet) MarkLeaving(now time.Time, i Instance) (news bool) {
+	if state := set.byID[i.Upstream]; state != nil && state.upstream.StartedMs <= i.StartedMs {
+		news = state.health.leave(now)
 	}
-	h := former.health
-	if i.StartedMs > former.startedMs {
-		h = health{}
-	}
-	news := h.leave(now)
-	set.former.put(i, h)
+	set.former.update(i.Upstream, func(former *formerState) { news = former.leave(i.StartedMs) || news })
 	return news
 }
 
@@ -104,12 +120,14 @@
 	if state := set.find(t); state != nil {
 		return state.health.leaveAlone(now, wait)
 	}
-	former, known := set.former.byID[t.Upstream.ID]
-	if !known || former.startedMs != t.Upstream.StartedMs {
+	if former, known := set.former.byID[t.Upstream.ID]; !known || former.listedMs != t.Upstream.StartedMs {
 		return 0
 	}
-	grew := former.health.leaveAlone(now, wait)
-	set.former.byID[t.Upstream.ID] = former
+	var grew time.Duration
+	set.former.update(t.Upstream.ID, func(former *formerState) {
+		grew = former.alone.leaveAlone(now, wait)
+		former.aloneMs = max(former.aloneMs, t.Upstream.StartedMs)
+	})
 	return grew
 }
 
@@ -125,22 +143,18 @@
 	return leaving
 }
 
-// MaySend reports whether a request that was assigned before may still be sent. An
-// instance of which a later incarnation is known has ended.
+// MaySend reports whether a request that was assigned before may still be sent.
 func (set *upstreamSet) MaySend(now time.Time, t *Ticket) bool {
 	if state := set.byID[t.Upstream.ID]; state != nil {
 		s := state.health.state(now)
 		return state.upstream.SameInstance(t.Upstream) && s != Leaving && s != LeftAlone
 	}
 	former, known := set.former.byID[t.Upstream.ID]
-	switch {
-	case !known || t.Upstream.StartedMs > former.startedMs:
+	if !known {
 		return true
-	case t.Upstream.StartedMs < former.startedMs:
-		return false
-	default:
-		return former.health.leavingSince.IsZero() && !now.Before(former.health.leftAloneUntil)
 	}
+	// An instance after which another one was listed has ended.
+	return t.Upstream.StartedMs == former.listedMs && !former.hasLeft(former.listedMs) && former.alone.state(now) != LeftAlone
 }
 
 // FreeIn returns the time until an upstream may get a request: 0 if one may now, or if
--- a/placement/leaving_test.go
+++ b/placement/leaving_test.go
@@ -191,3 +191,21 @@
 		assert.Equal(t, "p0", d.HeldBack.Upstream)
 	}
 }
+
+// An instance that started by a clock that is behind must be used, unless one that
+// started later by the clocks has said that it leaves.
+func TestEarlierStartTimeIsUsedUnlessALaterOneLeft(t *testing.T) {
+	entry := func(born int64) []catalog.Upstream {
+		return []catalog.Upstream{{ID: "p0", DataCentre: "a", Slots: 6, StartedMs: born}}
+	}
+	p := plainPool(1)
+	p.SetUpstreams(start, entry(5))
+	p.SetUpstreams(start, entry(3))
+	assert.False(t, p.Place(start, PlainRequest{Remaining: time.Minute}).Refused())
+	p.SetUpstreams(start, entry(5))
+	assert.True(t, p.MarkLeaving(start, Instance{Upstream: "p0", StartedMs: 5}))
+	p.SetUpstreams(start, entry(3))
+	assert.Equal(t, NoUpstream, p.Place(start, PlainRequest{Remaining: time.Minute}).Reason)
+	p.SetUpstreams(start, entry(6))
+	assert.False(t, p.Place(start, PlainRequest{Remaining: time.Minute}).Refused())
+}
