gateway: pools of services that leave the configuration are emptied

Cause: pools were only ever added, so the loads and the leaving upstreams of a service that is no longer configured were reported for good, and counted in the bytes of each report. They are emptied now and stay, so that a service which comes back does not bring a leaving instance back. TestServiceThatLeavesTheConfigurationReportsNothing failed before (one load, one leaving upstream).

--- a/gateway/connections_test.go
+++ b/gateway/connections_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/lacewingshift/lacewingshift/placement"
 )
 
 // Upstreams of a service that state different idle timeouts must not close each other's
@@ -49,3 +51,24 @@
 		assert.LessOrEqual(t, made[i].Load(), int64(2), "upstream %d", i)
 	}
 }
+
+// A request whose upstream leaves or asks to be left alone while the router connects to
+// it must not be sent.
+func TestPermissionThatEndsWhileConnectingWithholdsTheRequest(t *testing.T) {
+	var arrived atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { arrived.Add(1) }))
+	t.Cleanup(server.Close)
+	c := newConnections(0, 1)
+	address := server.Listener.Addr().String()
+	for _, retryable := range []bool{true, false} {
+		ctx := withPermission(t.Context(), func() bool { return false })
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address, nil)
+		require.NoError(t, err)
+		_, err = c.transport(address, retryable).RoundTrip(request)
+		require.ErrorIs(t, err, errWithheld)
+		r := classify(ctx, err, false, false)
+		assert.Equal(t, notRun, r.attemptStatus)
+		assert.Equal(t, placement.Withheld, r.outcome)
+	}
+	assert.Zero(t, arrived.Load())
+}
--- a/gateway/dispatch_test.go
+++ b/gateway/dispatch_test.go
@@ -93,3 +93,36 @@
 	}
 	assert.NotEqual(t, chosen[0], chosen[1])
 }
+
+// A service that leaves the configuration must not go on reporting loads, and what is
+// known of its upstreams must hold when it comes back.
+func TestServiceThatLeavesTheConfigurationReportsNothing(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := newPools(placement.Location{DataCentre: "a"}, nil, budget.Limits{Window: time.Second}, 4*time.Second, now)
+	service := &catalog.Service{Name: "s", Engine: &catalog.Engine{Slots: 8, MemoryTokens: 1 << 20}}
+	with := catalog.NewTable(1, nil, []*catalog.Service{service}, nil, catalog.Limits{TokensPerSecond: 1000}, false)
+	without := catalog.NewTable(2, nil, nil, nil, catalog.Limits{TokensPerSecond: 1000}, false)
+	upstreams := func(string) []catalog.Upstream {
+		return []catalog.Upstream{{ID: "e-1", DataCentre: "a", StartedMs: 1}, {ID: "e-2", DataCentre: "a", StartedMs: 1}}
+	}
+	p.configure(now, with, upstreams)
+	c := &call{
+		request: &http.Request{}, service: service, workspace: &catalog.Workspace{Name: "w"},
+		route: &catalog.Route{TargetLatency: time.Second}, headers: platform.CallerRequest{PromptTokens: 100},
+	}
+	a := p.assign(now, c)
+	require.False(t, a.Refused())
+	require.True(t, p.saysLeaving(now, &a))
+	p.configure(now, without, upstreams)
+	var report fleet.Report
+	p.fillReport(now, &report)
+	assert.Empty(t, report.Loads)
+	assert.Empty(t, report.Leaving)
+
+	p.configure(now, with, upstreams)
+	for range 10 {
+		again := p.assign(now, c)
+		assert.NotEqual(t, a.Upstream.ID, again.Upstream.ID)
+		p.ended(now, c, &again, placement.Succeeded, true)
+	}
+}
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -55,6 +55,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.capacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
+	p.dropUpstreams(now, table)
 	for _, service := range table.Services() {
 		list := upstreams(service.Name)
 		if service.Engine == nil {
@@ -70,6 +71,21 @@
 	}
 }
 
+// dropUpstreams empties the pools of services that are no longer configured. The pools
+// stay, with what they know of instances that leave.
+func (p *pools) dropUpstreams(now time.Time, table *catalog.Table) {
+	for name, pool := range p.enginePools {
+		if s := table.Service(name); s == nil || s.Engine == nil {
+			pool.SetUpstreams(now, nil, catalog.Engine{}, 0)
+		}
+	}
+	for name, pool := range p.plainPools {
+		if s := table.Service(name); s == nil || s.Engine != nil {
+			pool.SetUpstreams(now, nil)
+		}
+	}
+}
+
 // upstreamPool is what the pools of engines and of plain upstreams have in common.
 type upstreamPool interface {
 	Loads(now time.Time) []placement.Load
