soak: keys that are revoked during series of pauses

After the random faults a workspace is removed with its key while every router is stopped and continued by signals for 2.2 s. No request with that key that was sent later than 2.5 s after the store's acknowledgement may run or get 200, paused router or not; such requests must be rejected.

--- a/fake/site/caller.go
+++ b/fake/site/caller.go
@@ -19,6 +19,7 @@
 type Outcome struct {
 	ID     string
 	Path   string
+	Key    string // of the workspace
 	Router string // address; empty if none was known
 	Sent   time.Time
 	Ended  time.Time
@@ -142,7 +143,8 @@
 	request.Host = Host
 	request.Header.Set("Request-Id", o.ID)
 	request.Header.Set("Deadline", fmt.Sprint(c.Timeout.Milliseconds()))
-	request.Header.Set("Authorization", "Bearer "+[]string{Key, OtherKey}[c.Rand.IntN(2)])
+	o.Key = []string{Key, OtherKey}[c.Rand.IntN(2)]
+	request.Header.Set("Authorization", "Bearer "+o.Key)
 	if o.Path == StreamPath || o.Path == NonResumablePath {
 		request.Header.Set("Token-Count", "300,40")
 		request.Header.Set("Prompt-Prefix", fmt.Sprintf("aa:50,t%d:150,%s:100", c.Rand.IntN(5), o.ID))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -75,10 +75,12 @@
 	faultsEnded := time.Now()
 	assert.Eventually(t, d.allReady, recoveryLimit, 50*time.Millisecond, "routers must be ready again")
 	time.Sleep(2 * time.Second)
+	injector.revoke()
 	drained := injector.drain()
 	stop()
 	callers.Wait()
-	checkOutcomes(t, d, outcomeLog.all(), faultsEnded)
+	checkOutcomes(t, d, injector.revocation.allowed(outcomeLog.all()), faultsEnded)
+	injector.revocation.check(t, d, outcomeLog.all())
 	checkRequests(t, d, outcomeLog.all(), injector.disturbed)
 	for _, r := range drained {
 		delay := r.LastStart().Sub(injector.drainedAt)
@@ -112,6 +114,8 @@
 	version   int64          // last configuration version
 	drainedAt time.Time      // when the runners started to leave
 
+	revocation revocation
+
 	mu        sync.Mutex
 	disturbed []disturbance
 }
