fake/site: one function returns the connection of a request

Found when reading the change again: resetConnection repeated the look-up and its check from repeatAnswer. Stand-in only, no behaviour changes. Ran: gofmt, go vet of fake/site and gateway, tests of fake/site, and TestLateSecondAnswer... and the ...WithoutFraming tests of gateway: pass.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -258,13 +258,19 @@
 	r.plain(w, request, b)
 }
 
-// repeatAnswer sends the previous answer of the connection once more, and stores the
-// one that the request will get.
-func (r *Runner) repeatAnswer(request *http.Request, b Behaviour) {
+// connectionOf returns the connection of a request.
+func connectionOf(request *http.Request) *runnerConnection {
 	connection, ok := request.Context().Value(connectionKey{}).(*runnerConnection)
 	if !ok {
 		panic("request without a connection") // a bug in this package
 	}
+	return connection
+}
+
+// repeatAnswer sends the previous answer of the connection once more, and stores the
+// one that the request will get.
+func (r *Runner) repeatAnswer(request *http.Request, b Behaviour) {
+	connection := connectionOf(request)
 	_, _ = io.WriteString(connection, connection.answer) // an error means that the caller has disconnected
 	id := request.Header.Get("Request-Id")
 	body := PlainBody(id)
@@ -366,10 +372,7 @@
 
 // resetConnection makes the connection of a request end with a reset.
 func resetConnection(request *http.Request) {
-	connection, ok := request.Context().Value(connectionKey{}).(*runnerConnection)
-	if !ok {
-		panic("request without a connection") // a bug in this package
-	}
+	connection := connectionOf(request)
 	tcp, ok := connection.Conn.(*net.TCPConn)
 	if !ok {
 		panic("connection is not TCP") // a bug in this package
