--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -81,6 +82,18 @@
 	return c.headers.MaxOutputTokens / 2
 }
 
+// maxLoggedParts bounds the parts of a prompt in one log line.
+const maxLoggedParts = 16
+
+// partIDs returns the ids of the parts of the prompt for a log line.
+func (c *call) partIDs() string {
+	var ids []string
+	for _, part := range c.headers.Parts[:min(len(c.headers.Parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
+}
+
 // cost returns the work of the request in tokens: one for each token read, two for
 // each one generated.
 func (c *call) cost() float64 { return float64(c.headers.PromptTokens + 2*c.expectedOutput()) }
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -97,6 +97,7 @@
 		c.attempts++
 		c.upstream, c.framing, c.unfinished = a.Upstream.ID, "", 0
 		c.tried = append(c.tried, a.Upstream.ID)
+		eventsBefore := out.events
 		r := h.attempt(out, c, &a)
 		ejected := h.pools.ended(time.Now(), c, &a, r.outcome, r.attemptStatus != notRun)
 		if ejected {
@@ -113,7 +114,8 @@
 		}
 		c.mayHaveRun = c.mayHaveRun || r.attemptStatus == maybeRan
 		h.metrics.attemptsFailed.Inc()
-		h.log(c, "attempt failed", "reason", r.reason, "may_have_run", r.attemptStatus == maybeRan, "wait", a.Wait)
+		h.log(c, "attempt failed", "reason", r.reason, "may_have_run", r.attemptStatus == maybeRan, "wait", a.Wait,
+			"events", out.events-eventsBefore, "parts", c.partIDs())
 		final := c.mayHaveRun && !c.route.Retryable() || out.started && c.route.Kind != catalog.Stream
 		if final || r.outcome == placement.Abandoned {
 			h.giveUp(out, c, http.StatusBadGateway, r.reason, 0)
