gateway: failing test of a part that crashes engine after engine

The stand-in's engines can have a deadly part: an engine that begins to write an answer to a prompt with it ends in the middle of the first event, refuses connections for 0.7 s and starts again.

--- a/fake/site/leaving.go
+++ b/fake/site/leaving.go
@@ -8,8 +8,9 @@
 
 // Arrival is a request that has reached a runner, whether it ran or not.
 type Arrival struct {
-	ID string
-	At time.Time
+	ID     string
+	At     time.Time
+	Prompt string // Prompt-Prefix
 	// Born is the start of the incarnation that it reached, in Unix milliseconds.
 	Born int64
 	// Leaving is set if the answer said that the runner leaves.
@@ -47,8 +48,8 @@
 
 // arrive records a request and sets the header fields that depend on whether the
 // runner leaves. It reports whether the request is turned away.
-func (r *Runner) arrive(w http.ResponseWriter, id string) (turnedAway bool) {
-	arrival := Arrival{ID: id, At: time.Now(), Leaving: r.leaving.Load()}
+func (r *Runner) arrive(w http.ResponseWriter, id, prompt string) (turnedAway bool) {
+	arrival := Arrival{ID: id, At: time.Now(), Prompt: prompt, Leaving: r.leaving.Load()}
 	if arrival.Leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -76,8 +76,9 @@
 
 	store         *Store
 	listener      net.Listener
-	server        *http.Server
+	server        *http.Server // guarded by mu
 	behaviour     atomic.Uint32
+	deadlyPart    atomic.Pointer[string] // id of a part of a prompt; nil or empty for none
 	leaving       atomic.Bool
 	retryAfter    atomic.Pointer[string] // value of Retry-After; nil or empty to serve
 	endlessBytes  atomic.Int64
@@ -94,6 +95,9 @@
 	running    int
 	cached     map[string]bool // prompt prefixes whose parts are cached
 	tokensRead int             // prompt tokens read so far
+	crashes    []time.Time
+	down       bool // crashed and not yet started again
+	closed     bool // for good
 }
 
 const (
@@ -115,14 +119,26 @@
 		r.Slots = defaultSlots
 	}
 	r.slotSemaphore = make(chan struct{}, r.Slots)
-	r.server = &http.Server{Handler: r, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connectionKey{}, &runnerConnection{Conn: c})
-	}}
-	go func() { _ = r.server.Serve(listener) }() // ends with Close
+	r.serve(listener)
 	r.register()
 	return r, nil
 }
 
+// serve serves on a listener in the background, until the server is closed.
+func (r *Runner) serve(listener net.Listener) {
+	server := &http.Server{Handler: r, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, &runnerConnection{Conn: c})
+	}}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server, r.down = server, false
+	if r.closed {
+		_ = listener.Close()
+		return
+	}
+	go func() { _ = server.Serve(listener) }()
+}
+
 func (r *Runner) register() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -154,7 +170,12 @@
 }
 
 // Close stops the runner without deregistering it.
-func (r *Runner) Close() { _ = r.server.Close() }
+func (r *Runner) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	_ = r.server.Close()
+}
 
 // Runs returns how often each request has run here.
 func (r *Runner) Runs() map[string]int {
@@ -205,7 +226,7 @@
 	id := request.Header.Get("Request-Id")
 	b := Behaviour(r.behaviour.Load())
 	w.Header().Set("Request-Id", id)
-	turnedAway := r.arrive(w, id)
+	turnedAway := r.arrive(w, id, request.Header.Get("Prompt-Prefix"))
 	if target := request.Header.Get("Target-Instance"); b == Misdirected || target != "" && target != r.ID {
 		w.Header().Set("Instance-Id", r.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -453,6 +474,12 @@
 	controller := http.NewResponseController(w)
 	for i := last + 1; i <= r.Events; i++ {
 		event := StreamBody(i, i)
+		if r.isDeadly(request.Header.Get("Prompt-Prefix")) {
+			_, _ = w.Write([]byte(event[:len(event)/2])) // the engine ends in the middle of its first event
+			_ = controller.Flush()
+			r.Crash()
+			panic(http.ErrAbortHandler)
+		}
 		if b == UnframedEmpty {
 			return
 		}
