quarantine: bar the parts of prompts that crash upstreams

Callers saw answers break off again and again: one part of a prompt ends each engine that begins to write an answer on it, and takes up to 46 sound streams along. Cause: a crash counted against the upstream only. No router remembered what the upstream had been doing, so each further request with the part, and the second attempt of each, ended one more engine.

Package quarantine, pure: a crash is evidence against all parts but the last of the requests that the upstream had not answered, more of it if the head of the answer had arrived. An answer begun later clears it. Three crashes bar the part, 100 ms or more apart; two forbid a second attempt. A part is not barred for crashes that another part explains which the prompt does not have. A break-off counts as a crash only if the upstream then refuses a connection. Evidence travels in the reports and digests that exist, as sets that only grow, so that order and repeats do not matter. One router at a time may try a barred part, 30 s after the latest crash and then at doubling intervals. Barred requests are refused at once as not run, without a time to come back.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/lacewingshift/lacewingshift/quarantine"
 )
 
 const (
@@ -87,13 +89,13 @@
 // Messages completes this router's report and returns the messages to send.
 func (t *Table) Messages(now time.Time, own *Report) []Message {
 	t.stamp(own)
-	interest := own.Interest
-	own.Interest = nil
+	interest, suspects := own.Interest, own.Suspects
+	own.Interest, own.Suspects = nil, nil
 	if !t.usesRelays(now) {
 		if t.sequence%knownInterval == 1 {
 			t.addKnown(own)
 		}
-		return []Message{{To: t.recipients(now), Kind: KindReport, Envelope: Envelope{Report: t.withRepeatedLeaving(own)}}}
+		return []Message{{To: t.recipients(now), Kind: KindReport, Envelope: Envelope{Report: t.withRepeated(own, suspects, suspectsRepeat)}}}
 	}
 	relays := t.relays(now, t.self.DataCentre)
 	active := t.isActiveRelay(now, relays)
@@ -101,7 +103,7 @@
 	if t.reportDue(now, own, slices.Contains(relays, t.self.Host)) {
 		t.reported, t.reportedAt = own.versions(), now
 		own.Interest = t.announceInterest(interest)
-		messages = append(messages, Message{To: t.otherHosts(relays), Kind: KindReport, Envelope: Envelope{Report: t.withRepeatedLeaving(own)}})
+		messages = append(messages, Message{To: t.otherHosts(relays), Kind: KindReport, Envelope: Envelope{Report: t.withRepeated(own, suspects, suspectsToRelaysRepeat)}})
 	}
 	messages = append(messages, t.introductions(now, own, active)...)
 	if active {
@@ -109,16 +111,24 @@
 	}
 	if active && (due(now, t.digestsAt, t.pace(t.self.DataCentre)) || t.digestVersions != own.versions()) {
 		t.digestsAt, t.digestVersions = now, own.versions()
-		messages = append(messages, t.digestMessages(now, own)...)
+		messages = append(messages, t.digestMessages(now, own, suspects)...)
 	}
 	return messages
 }
 
-// withRepeatedLeaving returns a copy of a report that lists the leaving upstreams only
-// if that is due.
-func (t *Table) withRepeatedLeaving(own *Report) *Report {
-	report := *own
+// withRepeated returns a copy of a report that contains the leaving upstreams and the
+// evidence against parts of prompts only if that is due.
+func (t *Table) withRepeated(own *Report, suspects []quarantine.Suspect, repeat int) *Report {
+	report := withSuspects(own, t.suspects.next(suspects, own.SuspectsRevision, repeat))
 	report.Leaving = t.leaving.next(own.Leaving)
+	return report
+}
+
+// withSuspects returns a copy of a report that contains evidence against parts of
+// prompts.
+func withSuspects(r *Report, suspects []quarantine.Suspect) *Report {
+	report := *r
+	report.Suspects = suspects
 	return &report
 }
 
@@ -165,7 +175,7 @@
 // digestMessages returns the changes of the sums of this data centre for the relays
 // of the others, and for each member of this data centre the changes of the sums
 // over all other routers.
-func (t *Table) digestMessages(now time.Time, own *Report) []Message {
+func (t *Table) digestMessages(now time.Time, own *Report, suspects []quarantine.Suspect) []Message {
 	localTotals := NewTotals()
 	localTotals.AddReport(own, 0, 1)
 	var members []*member
@@ -179,7 +189,7 @@
 	fleetTotals.Add(localTotals)
 	t.addRemoteDigests(now, fleetTotals)
 	// The digests already include this router's own loads, tokens and retries.
-	withoutLoads := own.withoutLoads()
+	withoutLoads := withSuspects(own.withoutLoads(), t.digestSuspects.next(suspects, own.SuspectsRevision, suspectsRepeat))
 	remote := t.remoteRelays(now)
 	recipients := len(members) + len(remote)
 	messages := t.dataCentreMessages(now, withoutLoads, localTotals, remote, recipients)
@@ -190,8 +200,12 @@
 		}
 		totals := fleetTotals.restrictedTo(m.interest)
 		totals.AddReport(m.report, now.Sub(m.reportedAt), -1)
+		report := withoutLoads
+		if m.digests.number < suspectsAtOnce {
+			report = withSuspects(withoutLoads, suspects) // the member may have just started
+		}
 		digest := m.digests.next("", digestContent{totals: totals, members: live, interest: m.interest}, recipients)
-		messages = append(messages, Message{To: []string{m.record.Host}, Kind: KindMemberDigest, Envelope: Envelope{Report: withoutLoads, Digest: digest}})
+		messages = append(messages, Message{To: []string{m.record.Host}, Kind: KindMemberDigest, Envelope: Envelope{Report: report, Digest: digest}})
 	}
 	return messages
 }
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -28,7 +28,9 @@
 	bytes       int
 	// report returns the report of a router without its record; nil for one with
 	// the same load at every router.
-	report    func(host string) *Report
+	report func(host string) *Report
+	// received is told of each message that arrives; nil for none.
+	received  func(host string, e *Envelope)
 	bytesSent map[string]int // bodies by sender
 	bytesOf   map[Kind]int   // bodies by kind
 }
@@ -76,6 +78,9 @@
 			e, err := DecodeEnvelope(f.body)
 			require.NoError(t, err)
 			n.tables[f.to].Receive(n.now, e)
+			if n.received != nil {
+				n.received(f.to, e)
+			}
 		}
 		n.inFlight = undelivered
 		for i, host := range n.order {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -9,6 +9,7 @@
 	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/placement"
+	"github.com/lacewingshift/lacewingshift/quarantine"
 )
 
 // State is the state of a router.
@@ -66,6 +67,11 @@
 	// sender's list of upstreams does not. It is missing in most messages, see
 	// repeatedLeaving.
 	Leaving []placement.Instance `cbor:"16,keyasint,omitempty"`
+	// Suspects is the evidence against parts of prompts that crash upstreams, as far as
+	// the sender knows it. It is missing in most messages, see repeatedSuspects.
+	Suspects []quarantine.Suspect `cbor:"17,keyasint,omitempty"`
+	// SuspectsRevision changes with news in Suspects. It is not sent.
+	SuspectsRevision int `cbor:"-"`
 }
 
 // Interest lists upstreams whose loads a router needs.
@@ -91,10 +97,11 @@
 	state             State
 	config, upstreams int64
 	leaving           int // number of upstreams
+	suspects          int // revision
 }
 
 func (r *Report) versions() versions {
-	return versions{state: r.State, config: r.ConfigVersion, upstreams: r.UpstreamsVersion, leaving: len(r.Leaving)}
+	return versions{state: r.State, config: r.ConfigVersion, upstreams: r.UpstreamsVersion, leaving: len(r.Leaving), suspects: r.SuspectsRevision}
 }
 
 // StoreAge returns StoreAgeMs as a duration.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -66,6 +66,7 @@
 	reportedAt time.Time
 	interest   announcedInterest
 	leaving    repeatedLeaving
+	suspects   repeatedSuspects
 
 	// streams holds the digests received, by the host of the relay.
 	streams map[string]*stream
@@ -76,6 +77,7 @@
 	digestVersions    versions
 	dataCentreDigests *digestWriter // nil before the first one
 	digestRecipients  []string      // of dataCentreDigests
+	digestSuspects    repeatedSuspects
 
 	// cachedLive is the result of Live at cachedLiveAt, nil after a message or a step.
 	cachedLive   []Record
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,6 +44,7 @@
 	// leaveAlone is set if the latest upstream asked for no requests for a time.
 	leaveAlone bool
 	framing    framing // of the latest upstream's response; empty before
+	progress   answerProgress
 	// unfinished is the number of bytes that followed the last whole event when a
 	// stream ended.
 	unfinished int
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/placement"
+	"github.com/lacewingshift/lacewingshift/quarantine"
 )
 
 // assignment is a placement decision and the load that it adds to an upstream.
@@ -19,6 +20,8 @@
 	charged    bool
 	enginePool *placement.EnginePool
 	plainPool  *placement.PlainPool
+	// verdict is the evidence that the prompt crashes upstreams; empty if there is none.
+	verdict quarantine.Verdict
 }
 
 // upstreams returns the pool that the upstream belongs to.
@@ -67,10 +70,21 @@
 func (p *pools) assign(now time.Time, c *call) assignment {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	verdict, refused := p.verdict(now, c)
+	if refused {
+		return assignment{Decision: placement.Decision{Reason: promptBarred}, verdict: verdict}
+	}
+	var a assignment
 	if c.service.Engine == nil {
-		return p.assignPlain(now, c)
+		a = p.assignPlain(now, c)
+	} else {
+		a = p.assignEngine(now, c)
+	}
+	a.verdict = verdict
+	if verdict.Trial && !a.Refused() {
+		p.quarantine.BeginTrial(now, c.service.Name, verdict)
 	}
-	return p.assignEngine(now, c)
+	return a
 }
 
 func (p *pools) assignPlain(now time.Time, c *call) assignment {
@@ -118,7 +132,7 @@
 func (p *pools) saysLeaving(now time.Time, a *assignment) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return a.upstreams().MarkLeaving(now, placement.Instance{Upstream: a.Upstream.ID, StartedMs: a.Upstream.StartedMs})
+	return a.upstreams().MarkLeaving(now, instanceOf(a.Upstream))
 }
 
 // leaveAlone records that the upstream of an assignment asks for no requests for a time.
@@ -130,9 +144,12 @@
 }
 
 // maySend reports whether an assigned request may still be sent to its upstream.
-func (p *pools) maySend(now time.Time, a *assignment) bool {
+func (p *pools) maySend(now time.Time, c *call, a *assignment) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if _, refused := p.verdict(now, c); refused && !a.verdict.Trial {
+		return false
+	}
 	return a.upstreams().MaySend(now, a.ticket)
 }
 
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -117,6 +117,7 @@
 	for _, upstream := range x.pools.setRemote(now, totals, known) {
 		x.logger.Info("upstream leaves", "upstream", upstream, "source", versioned.Peer)
 	}
+	x.stepQuarantine(now)
 	// Of several routers with a newer version the first one is asked.
 	x.sortByDistance(reports)
 	for _, r := range reports {
@@ -210,11 +211,36 @@
 	x.mu.Lock()
 	newer := x.table.Receive(now, e)
 	x.mu.Unlock()
+	if x.pools.mergeSuspects(now, e.Report.Suspects) {
+		x.triggerReport()
+	}
 	if newer {
 		x.fetchNewer(now, e.Report, false)
 	}
 }
 
+// self returns the host of this router.
+func (x *exchange) self() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.table.Self().Host
+}
+
+// stepQuarantine logs which parts of prompts were barred or freed.
+func (x *exchange) stepQuarantine(now time.Time) {
+	var hosts []string
+	for _, r := range x.ready() {
+		hosts = append(hosts, r.Host)
+	}
+	for _, change := range x.pools.stepQuarantine(now, x.self(), hosts) {
+		if change.Barred {
+			x.logger.Warn("part of prompts is barred", "service", change.Service, "part", change.Part, "crashes", change.Crashes, "last_crash", change.LastCrash, "trials", change.Trials)
+			continue
+		}
+		x.logger.Info("part of prompts is no longer barred", "service", change.Service, "part", change.Part, "trials", change.Trials)
+	}
+}
+
 // mayAct reports whether requests may be handled with the versions that this router
 // holds. After a pause they may have been replaced, or a key may have been revoked.
 func (x *exchange) mayAct() bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -129,6 +129,8 @@
 	m.gauge("lacewing_config_version", func() float64 { return float64(g.config.Get().Version) })
 	m.gauge("lacewing_store_calls", func() float64 { return float64(g.store.Calls()) })
 	m.gauge("lacewing_store_age_seconds", func() float64 { return g.exchange.storeAge(time.Now()).Seconds() })
+	m.gauge("lacewing_parts_suspected", func() float64 { suspected, _ := g.pools.quarantineCounts(); return float64(suspected) })
+	m.gauge("lacewing_parts_barred", func() float64 { _, barred := g.pools.quarantineCounts(); return float64(barred) })
 	m.gauge("lacewing_routers_ready", func() float64 { return float64(len(g.exchange.ready())) })
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -83,6 +83,11 @@
 	m.set.GetOrCreateFloatCounter(`lacewing_upstream_left_alone_seconds_total{service="` + service + `"}`).Add(d.Seconds())
 }
 
+// crashed counts an upstream of a service that has crashed, as this router found.
+func (m *requestMetrics) crashed(service string) {
+	m.set.GetOrCreateCounter(`lacewing_upstream_crashes_total{service="` + service + `"}`).Inc()
+}
+
 // responded counts a response of an upstream by its framing.
 func (m *requestMetrics) responded(f framing) {
 	m.set.GetOrCreateCounter(`lacewing_upstream_responses_total{framing="` + string(f) + `"}`).Inc()
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -9,6 +9,7 @@
 	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/fleet"
 	"github.com/lacewingshift/lacewingshift/placement"
+	"github.com/lacewingshift/lacewingshift/quarantine"
 )
 
 // maxUnreportedAge bounds the time for which the grants of other routers are
@@ -28,6 +29,8 @@
 	enginePools      map[string]*placement.EnginePool // by service
 	plainPools       map[string]*placement.PlainPool  // by service
 	retryBudgets     map[string]*budget.Window        // by service
+	quarantine       *quarantine.Table
+	detector         *quarantine.Detector
 	meter            *fairshare.Meter
 	shareBuckets     *fairshare.Buckets          // what this router may grant within shares
 	spareBuckets     *fairshare.Buckets          // what it may grant beyond them
@@ -42,7 +45,9 @@
 }
 
 func newPools(location placement.Location, regions map[string]string, retryLimits budget.Limits, shareWindow time.Duration, now time.Time) *pools {
+	suspects := quarantine.NewTable()
 	return &pools{
+		quarantine: suspects, detector: quarantine.NewDetector(suspects),
 		seed: uint64(now.UnixNano()), location: location, regions: regions, retryLimits: retryLimits, shareWindow: shareWindow,
 		enginePools: map[string]*placement.EnginePool{}, plainPools: map[string]*placement.PlainPool{},
 		retryBudgets: map[string]*budget.Window{}, meter: fairshare.NewMeter(shareWindow, now),
@@ -138,6 +143,7 @@
 		r.Leaving = append(r.Leaving, pool.LeavingInstances()...)
 	}
 	r.Interest = p.interest(now)
+	r.Suspects, r.SuspectsRevision = p.quarantine.Suspects(now), p.quarantine.Revision()
 	r.WorkspaceTokens = p.meter.Sums(now)
 	r.Retries = make(map[string]budget.Counts, len(p.retryBudgets))
 	for service, w := range p.retryBudgets {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -13,6 +13,7 @@
 
 	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/quarantine"
 )
 
 const (
@@ -52,6 +53,7 @@
 	}
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferLimit))
 	if err != nil {
+		c.progress.lost = isConnectionLost(err)
 		r := classify(ctx, err, true, true)
 		r.reason = "answer broke off: " + r.reason
 		return r
@@ -86,6 +88,8 @@
 	outcome := placement.Succeeded
 	if response.StatusCode >= 500 {
 		outcome = c.failureOutcome()
+	} else if response.StatusCode < 300 {
+		h.noteProgress(c)
 	}
 	return result{answered, outcome, "answered"}
 }
@@ -95,6 +99,7 @@
 // upstream that sends other bytes now and then has stalled.
 func (h *Handler) relayStream(ctx context.Context, out *callerResponse, c *call, a *assignment, response *http.Response, watchdog *watchdog) result {
 	var events eventBuffer
+	eventsBefore := out.events
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := response.Body.Read(chunk)
@@ -106,6 +111,12 @@
 			if out.events > before {
 				watchdog.reset()
 			}
+			if before == eventsBefore {
+				c.progress.begunAt = time.Now()
+			}
+			if out.events-eventsBefore >= quarantine.ProvenEvents {
+				h.noteProgress(c)
+			}
 		}
 		c.unfinished = len(events.pending)
 		if errors.Is(err, io.EOF) {
@@ -115,6 +126,7 @@
 			err = errEventTooLarge
 		}
 		if err != nil {
+			c.progress.lost = isConnectionLost(err)
 			r := classify(ctx, err, true, true)
 			r.reason = "stream broke off: " + r.reason
 			return r
@@ -127,15 +139,18 @@
 func (h *Handler) endStream(out *callerResponse, c *call, a *assignment, response *http.Response, events *eventBuffer) result {
 	h.noteTrailer(c, a, response)
 	if events.insideEvent() && (isEventStream(response) || c.framing == framedByConnection) {
+		c.progress.lost = true
 		return result{maybeRan, placement.Failed, "stream broke off: it ended inside an event"}
 	}
 	if c.framing == framedByConnection && out.events == 0 && c.headers.LastEvent == "" {
+		c.progress.lost = true
 		return result{maybeRan, placement.Failed, "stream broke off: it ended before the first event"}
 	}
 	if err := h.forward(out, c, a, response, events.pending); err != nil {
 		return result{answered, placement.Abandoned, "caller left"}
 	}
 	h.metrics.answered(c)
+	h.noteProgress(c)
 	return result{answered, placement.Succeeded, "answered"}
 }
 
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -88,7 +88,7 @@
 		}
 		h.metrics.assigned(&a)
 		if a.Refused() {
-			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, slices.Concat([]any{"wait", a.Wait}, a.shareFields(), a.heldBackFields())...)
+			h.giveUp(out, c, http.StatusServiceUnavailable, string(a.Reason), a.RetryAfter, slices.Concat([]any{"wait", a.Wait}, a.shareFields(), a.heldBackFields(), a.verdictFields())...)
 			return
 		}
 		if len(c.tried) == 0 {
@@ -97,8 +97,10 @@
 		c.attempts++
 		c.upstream, c.framing, c.unfinished = a.Upstream.ID, "", 0
 		c.tried = append(c.tried, a.Upstream.ID)
+		c.progress = answerProgress{}
 		eventsBefore := out.events
 		r := h.attempt(out, c, &a)
+		h.noteBreakOff(c, &a, out.events-eventsBefore)
 		ejected := h.pools.ended(time.Now(), c, &a, r.outcome, r.attemptStatus != notRun)
 		if ejected {
 			h.logger.Warn("upstream ejected", "upstream", c.upstream, "request", c.headers.ID, "reason", r.reason)
@@ -197,7 +199,7 @@
 	watchdog := h.newWatchdog(c, cancel)
 	defer watchdog.stop()
 
-	permitted := func() bool { return h.mayAct() && h.pools.maySend(time.Now(), a) }
+	permitted := func() bool { return h.mayAct() && h.pools.maySend(time.Now(), c, a) }
 	if !permitted() {
 		return classify(ctx, errWithheld, false, false)
 	}
@@ -210,6 +212,7 @@
 	conns := h.connections(c.service)
 	response, err := conns.transport(a.Upstream.Address, c.route.Retryable()).RoundTrip(h.upstreamRequest(ctx, out, c, a))
 	if err != nil {
+		c.progress.lost = wrote.Load() && isConnectionLost(err)
 		return classify(ctx, err, connected.Load(), wrote.Load())
 	}
 	defer response.Body.Close()
@@ -280,6 +283,7 @@
 		return result{maybeRan, placement.Failed, "answer belongs to another request"}
 	}
 	h.noteUpstream(c, a, &headers)
+	c.progress.begunAt = time.Now()
 	switch {
 	case headers.NotRun && c.leaveAlone:
 		return result{notRun, placement.Deferred, "upstream asks to be left alone"}
