gateway: refusals beyond a workspace's share are 429

A caller could not tell its own workspace's excess demand from a service that cannot serve it: both were 503.

TestRefusalBeyondTheShareDiffersFromAnOverload fails before (503). BenchmarkRefusal accepts both statuses: without upstreams its requests are refused for the share first and for the missing upstream later.

--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -192,13 +192,22 @@
 
 // refuse answers that the request has not run and when to retry.
 func (h *Handler) refuse(w http.ResponseWriter, c *call, retryAfter time.Duration, reason string, details ...any) {
-	c.status = http.StatusServiceUnavailable
+	c.status = refusalStatus(reason)
 	platform.SetRouterHeaders(w.Header(), c.headers.ID, retryAfter)
 	h.answer(w, c.status, reason)
 	h.metrics.refusedFor(reason)
 	h.log(c, "request refused", append([]any{"reason", reason, "retry_after", retryAfter}, details...)...)
 }
 
+// refusalStatus tells the caller whether its own workspace asks for too much, or the
+// service cannot serve the request for another reason.
+func refusalStatus(reason string) int {
+	if reason == string(placement.OverShare) {
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
 // reject answers an invalid request.
 func (h *Handler) reject(w http.ResponseWriter, c *call, status int, reason string) {
 	c.status = status
