gateway: what follows a broken-off stream must be its rest

Reported by operators of similar systems: the next upstream's error in the middle of a caller's stream, or a stream that ends as if it were complete. It can happen here: an answer of 200 after a break was relayed whatever it was. Callers got a JSON document or an event without an id after the third event, and a complete answer; an upstream that began at its first event gave events twice, one that left one out gave a gap. Answers of 4xx and 5xx, refusals and text without a type were handled.

Cause: only the first answer of a request was checked to be what it should be. After a break the next one must now be a stream of events, and its first event must have an id that follows the last one sent: the next number if the ids were consecutive numbers, otherwise another one. If not, the caller sees the break.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -19,25 +19,32 @@
 
 // Behaviours of a runner.
 const (
-	Healthy         Behaviour = iota
-	Failing                   // responds with 500
-	Shedding                  // responds with 503 and does not run the request
-	Hanging                   // accepts requests and never responds
-	Truncating                // breaks off every response in the middle
-	Unsealed                  // responds without a seal
-	Misdirected               // responds that it is another instance
-	WrongRequestID            // responds with the id of another request
-	EndlessHead               // sends a response head without end
-	EndlessBody               // sends a body without end and, in a stream, without events
-	RepeatedAnswer            // sends a plain answer again when the next request arrives on its connection
-	AnonymousRepeat           // as RepeatedAnswer, without a request id in the second copy
-	Dripping                  // sends a comment line now and then in place of events
-	SlowStream                // pauses for SlowPause in the middle of a stream
-	DocumentAnswer            // answers a request for a stream with a JSON document
-	Unframed                  // sends neither a length nor chunks; the connection ends the answer
-	UnframedCut               // as Unframed, and closes the connection inside an event of a stream
-	UnframedReset             // as Unframed, and resets the connection in the middle of an answer
-	UnframedEmpty             // as Unframed, and closes the connection before the first event of a stream
+	Healthy          Behaviour = iota
+	Failing                    // responds with 500
+	Shedding                   // responds with 503 and does not run the request
+	Hanging                    // accepts requests and never responds
+	Truncating                 // breaks off every response in the middle
+	Unsealed                   // responds without a seal
+	Misdirected                // responds that it is another instance
+	WrongRequestID             // responds with the id of another request
+	EndlessHead                // sends a response head without end
+	EndlessBody                // sends a body without end and, in a stream, without events
+	RepeatedAnswer             // sends a plain answer again when the next request arrives on its connection
+	AnonymousRepeat            // as RepeatedAnswer, without a request id in the second copy
+	Dripping                   // sends a comment line now and then in place of events
+	SlowStream                 // pauses for SlowPause in the middle of a stream
+	DocumentAnswer             // answers a request for a stream with a JSON document
+	UntypedText                // as DocumentAnswer, with a text and without a content type
+	RejectingText              // responds with 400 and a text
+	ErrorEvent                 // answers a request for a stream with an event without an id
+	IgnoresLastEvent           // starts a stream from its first event, whatever the request says
+	SkipsEvent                 // leaves out the first event of the rest of a stream
+	RepeatedRefusal            // refuses the first request of a connection, and does so again when it runs the next one
+	AnonymousRefusal           // as RepeatedRefusal, without a request id in the second copy
+	Unframed                   // sends neither a length nor chunks; the connection ends the answer
+	UnframedCut                // as Unframed, and closes the connection inside an event of a stream
+	UnframedReset              // as Unframed, and resets the connection in the middle of an answer
+	UnframedEmpty              // as Unframed, and closes the connection before the first event of a stream
 )
 
 // SlowPause is the pause in a SlowStream. DripInterval is the time between two
@@ -236,6 +243,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if (b == RepeatedRefusal || b == AnonymousRefusal) && r.refuseOnce(w, request, b) {
+		return
+	}
 	if b == Shedding {
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -302,6 +312,24 @@
 	connection.answer = head + "\r\n" + body
 }
 
+// refuseOnce refuses the first request of a connection and returns true. Before the next
+// ones run it sends that refusal once more.
+func (r *Runner) refuseOnce(w http.ResponseWriter, request *http.Request, b Behaviour) bool {
+	connection := connectionOf(request)
+	if connection.answer != "" {
+		_, _ = io.WriteString(connection, connection.answer) // an error means that the caller has disconnected
+		return false
+	}
+	connection.answer = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+	if b == RepeatedRefusal {
+		connection.answer += "Request-Id: " + request.Header.Get("Request-Id") + "\r\n"
+	}
+	connection.answer += "\r\n"
+	w.Header().Set("Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // endlessChunk and endlessInterval are how a runner sends bytes without end: fast
 // enough to pass each limit within a second, without filling the processor.
 const (
@@ -465,11 +493,20 @@
 		return
 	}
 	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
-	if b == DocumentAnswer {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = io.WriteString(w, Document) // an error means that the caller has disconnected
+	if text, contentType := b.wrongAnswer(); text != "" {
+		w.Header()["Content-Type"] = contentType
+		if b == RejectingText {
+			w.WriteHeader(http.StatusBadRequest)
+		}
+		_, _ = io.WriteString(w, text) // an error means that the caller has disconnected
 		return
 	}
+	if b == IgnoresLastEvent {
+		last = 0
+	}
+	if b == SkipsEvent && last > 0 {
+		last++
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	controller := http.NewResponseController(w)
 	for i := last + 1; i <= r.Events; i++ {
@@ -506,6 +543,22 @@
 	r.sendTrailer(w)
 }
 
+// wrongAnswer returns what a runner sends in place of a stream and its content type; an
+// empty text for a stream.
+func (b Behaviour) wrongAnswer() (text string, contentType []string) {
+	switch b {
+	case DocumentAnswer:
+		return Document, []string{"application/json"}
+	case UntypedText:
+		return "internal error\n", nil
+	case RejectingText:
+		return "bad request\n", []string{"text/plain"}
+	case ErrorEvent:
+		return "event: error\ndata: internal error\n\n", []string{"text/event-stream"}
+	}
+	return "", nil
+}
+
 // drip sends comment lines until the caller closes the connection.
 func (r *Runner) drip(w http.ResponseWriter, request *http.Request) {
 	controller := http.NewResponseController(w)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +29,10 @@
 // errEventTooLarge ends a stream whose event exceeds maxEventBytes.
 var errEventTooLarge = eris.New("event is larger than the limit")
 
+// reasonNotTheRest is the reason of attempts whose answer does not continue the stream that
+// the caller has begun to receive.
+const reasonNotTheRest = "answer is not the rest of the stream"
+
 var idField = []byte("id:")
 
 // callerResponse is the response to a caller, across all attempts.
@@ -36,6 +41,7 @@
 	controller  *http.ResponseController
 	started     bool          // the headers have been sent
 	lastEventID string        // id of the last event that was sent to the caller
+	consecutive bool          // the ids of the events are numbers without gaps
 	events      int           // number of events with an id that were sent
 	lastEventAt time.Time     // when events were last sent
 	eventGap    time.Duration // longest gap between two events
@@ -98,6 +104,9 @@
 // that the stream can continue at another upstream. Only events count as progress; an
 // upstream that sends other bytes now and then has stalled.
 func (h *Handler) relayStream(ctx context.Context, out *callerResponse, c *call, a *assignment, response *http.Response, watchdog *watchdog) result {
+	if out.started && !isEventStream(response) {
+		return result{maybeRan, placement.Failed, reasonNotTheRest}
+	}
 	var events eventBuffer
 	eventsBefore := out.events
 	chunk := make([]byte, streamReadSize)
@@ -105,6 +114,9 @@
 		n, err := response.Body.Read(chunk)
 		if whole := events.add(chunk[:n]); whole != nil {
 			before := out.events
+			if before == eventsBefore && !out.continuesWith(whole) {
+				return result{maybeRan, placement.Failed, reasonNotTheRest}
+			}
 			if err := h.forward(out, c, a, response, whole); err != nil {
 				return result{answered, placement.Abandoned, "caller left"}
 			}
@@ -189,8 +201,58 @@
 func (r *callerResponse) recordEvents(events []byte) {
 	for line := range bytes.Lines(events) {
 		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			r.lastEventID = string(bytes.TrimSpace(rest))
+			id := string(bytes.TrimSpace(rest))
+			r.consecutive = isNumber(id) && (r.events == 0 || r.consecutive && follows(r.lastEventID, id))
+			r.lastEventID = id
 			r.events++
 		}
 	}
 }
+
+// continuesWith reports whether events may follow those that were sent to the caller.
+// After events with ids only events with later ones may, and none may be missing.
+func (r *callerResponse) continuesWith(events []byte) bool {
+	if r.lastEventID == "" {
+		return true
+	}
+	for event := range bytes.SplitSeq(normalLineEnds(events), []byte("\n\n")) {
+		id, isEvent := eventID(event)
+		if !isEvent {
+			continue
+		}
+		if r.consecutive {
+			return follows(r.lastEventID, id)
+		}
+		return id != "" && id != r.lastEventID
+	}
+	return true
+}
+
+// eventID returns the id of an event, and false for comments.
+func eventID(event []byte) (id string, isEvent bool) {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(rest)), true
+		}
+		isEvent = isEvent || len(line) > 0 && line[0] != ':'
+	}
+	return "", isEvent
+}
+
+// normalLineEnds returns a stream with a line feed at the end of each line.
+func normalLineEnds(events []byte) []byte {
+	events = bytes.ReplaceAll(events, []byte("\r\n"), []byte("\n"))
+	return bytes.ReplaceAll(events, []byte("\r"), []byte("\n"))
+}
+
+func isNumber(id string) bool {
+	_, err := strconv.ParseUint(id, 10, 64)
+	return err == nil
+}
+
+// follows reports whether an id is the number after another one.
+func follows(before, id string) bool {
+	a, errA := strconv.ParseUint(before, 10, 64)
+	b, errB := strconv.ParseUint(id, 10, 64)
+	return errA == nil && errB == nil && b == a+1
+}
