fake/site: tests claim their loopback networks; gateway: close all servers at exit

Two runs of the tests of gateway on one machine failed with "address already in use": networks were numbered from 1 in each process. A test now claims a number by listening on an address of its network, across processes; soak and e2e do the same, e2e in place of a probe that gave the address up again before it was used.

Networks are used again now, which showed a fault of the gateway used as a library: the servers for readiness, lookups and metrics kept serving their open connections after Run had returned, so that a new router on the address seemed never to become ready. They are closed with the listeners. TestStreamContinuesElsewhere and others failed before, with "router is ready" never satisfied.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,6 +18,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/fake/deployment"
+	"github.com/lacewingshift/lacewingshift/fake/site"
 )
 
 // waitTimeout limits every wait in these tests. It is far longer than any step takes, so
@@ -64,7 +64,10 @@
 	if testing.Short() {
 		t.Skip("starts a whole deployment")
 	}
-	network := freeNetwork(t)
+	claimed, release, err := site.ClaimNetwork("127.99.%d.254", 50, 124)
+	require.NoError(t, err)
+	t.Cleanup(release)
+	network := 2 * claimed // a deployment uses two numbers
 	plan, err := deployment.FindPlan("piedmont", deployment.Options{Network: network})
 	require.NoError(t, err)
 	f := &fleet{t: t, dir: t.TempDir(), network: network, processes: map[string]*exec.Cmd{}}
@@ -86,20 +89,6 @@
 	return f
 }
 
-// freeNetwork returns the second byte of a range of loopback addresses that no other
-// deployment on this machine uses.
-func freeNetwork(t *testing.T) int {
-	for network := 100; network < 250; network += 2 {
-		probe, err := net.Listen("tcp", fmt.Sprintf("127.%d.9.1:9000", network))
-		if err == nil {
-			probe.Close()
-			return network
-		}
-	}
-	t.Fatal("no free range of loopback addresses")
-	return 0
-}
-
 func (f *fleet) file(name string) string { return filepath.Join(f.dir, name) }
 
 func (f *fleet) readJSON(name string, target any) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,6 +79,7 @@
 	listeners    []net.Listener
 	intake       *intakeListener // one of listeners, for callers
 	callerServer *http.Server
+	otherServers []*http.Server // for readiness, lookups and metrics
 
 	mu              sync.Mutex
 	machine         *shutdown.Machine
@@ -201,6 +202,7 @@
 	if err != nil {
 		return eris.Wrapf(ErrListen, "%s: %v", address, err)
 	}
+	g.otherServers = append(g.otherServers, server)
 	g.serve(listener, server)
 	return nil
 }
@@ -282,6 +284,9 @@
 	for _, listener := range g.listeners {
 		listener.Close()
 	}
+	for _, server := range g.otherServers {
+		server.Close()
+	}
 	g.store.Close()
 	closed := make(chan struct{})
 	go func() {
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -19,13 +19,10 @@
 	"github.com/lacewingshift/lacewingshift/platform"
 )
 
-// netCount numbers the loopback network of each test.
-var netCount atomic.Int32
-
 // testSite is a deployment in this process: a store, runners and routers.
 type testSite struct {
 	t            *testing.T
-	net          int32
+	net          int
 	store        *site.Store
 	engines      []*site.Runner
 	plainRunners []*site.Runner
@@ -40,7 +37,10 @@
 
 func newSite(t *testing.T, engines, plainRunners int) *testSite {
 	t.Helper()
-	s := &testSite{t: t, net: netCount.Add(1)}
+	number, release, err := site.ClaimNetwork("127.20.%d.254", 1, 254)
+	require.NoError(t, err)
+	t.Cleanup(release)
+	s := &testSite{t: t, net: number}
 	store, err := site.NewStore(s.ip(250) + ":8781")
 	require.NoError(t, err)
 	s.store = store
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -73,8 +73,11 @@
 	ended   chan struct{} // closed when process has ended
 }
 
-func newDeployment(t *testing.T, network int) *deployment {
+func newDeployment(t *testing.T) *deployment {
 	t.Helper()
+	network, release, err := site.ClaimNetwork("127.30.%d.254", 1, 254)
+	require.NoError(t, err)
+	t.Cleanup(release)
 	d := &deployment{t: t, networkByte: network, folder: t.TempDir()}
 	store, err := site.NewStore(d.ip(250) + ":8781")
 	require.NoError(t, err)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,16 +53,16 @@
 	for i := range envInt("LACEWING_SOAK_RUNS", 2) {
 		seeds = append(seeds, uint64(first+i))
 	}
-	for i, seed := range seeds {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(t, seed, 1+i%200, duration)
+			runSeed(t, seed, duration)
 		})
 	}
 }
 
-func runSeed(t *testing.T, seed uint64, networkByte int, duration time.Duration) {
-	d := newDeployment(t, networkByte)
+func runSeed(t *testing.T, seed uint64, duration time.Duration) {
+	d := newDeployment(t)
 	require.Eventually(t, d.allReady, 5*time.Second, 20*time.Millisecond)
 	outcomeLog := &outcomeLog{}
 	ctx, stop := context.WithCancel(t.Context())
