--- a/fake/site/caller.go
+++ b/fake/site/caller.go
@@ -39,6 +39,8 @@
 	Routers []Router
 	Timeout time.Duration
 	Rand    *rand.Rand
+	// Part is the id of an additional part of the prompts, empty for none.
+	Part string
 	// Padding is the size of the request bodies in bytes.
 	Padding int
 	// FixedAddress is the only address to send requests to; empty uses lookups.
@@ -147,7 +149,11 @@
 	request.Header.Set("Authorization", "Bearer "+o.Key)
 	if o.Path == StreamPath || o.Path == NonResumablePath {
 		request.Header.Set("Token-Count", "300,40")
-		request.Header.Set("Prompt-Prefix", fmt.Sprintf("aa:50,t%d:150,%s:100", c.Rand.IntN(5), o.ID))
+		prompt := fmt.Sprintf("aa:50,t%d:150,", c.Rand.IntN(5))
+		if c.Part != "" {
+			prompt += c.Part + ":50,"
+		}
+		request.Header.Set("Prompt-Prefix", prompt+o.ID+":100")
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
--- a/fake/site/crash.go
+++ b/fake/site/crash.go
@@ -52,6 +52,9 @@
 	r.down = true
 	r.crashes = append(r.crashes, time.Now())
 	_ = r.server.Close()
+	if r.OnCrash != nil {
+		r.OnCrash()
+	}
 	clear(r.cached)
 	time.AfterFunc(restartAfter, r.startAgain)
 }
@@ -64,6 +67,9 @@
 			continue
 		}
 		r.serve(listener)
+		if r.OnStartAgain != nil {
+			r.OnStartAgain()
+		}
 		r.Restart()
 		return
 	}
--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -80,6 +80,9 @@
 	// RegisteredAddress is the address that the runner registers; by default its
 	// own.
 	RegisteredAddress string
+	// OnCrash and OnStartAgain, if set, are called when the runner crashes and before it
+	// starts again.
+	OnCrash, OnStartAgain func()
 
 	store         *Store
 	listener      net.Listener
--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -102,10 +102,10 @@
 func (d *deployment) addRunner(host int, r *site.Runner) {
 	p, err := newProxy(d.ip(host)+":8080", d.ip(host)+":9090")
 	require.NoError(d.t, err)
-	r.Zone, r.RegisteredAddress = "a", p.address()
+	r.Zone, r.RegisteredAddress, r.OnCrash, r.OnStartAgain = "a", p.address(), p.stopListening, p.listenAgain
 	started, err := site.StartRunner(d.store, d.ip(host)+":9090", r)
 	require.NoError(d.t, err)
-	d.t.Cleanup(func() { _ = p.listener.Close(); started.Close() })
+	d.t.Cleanup(func() { p.stopListening(); started.Close() })
 	d.runners = append(d.runners, &runner{started, p})
 }
 
@@ -119,7 +119,7 @@
 	}}
 	require.NoError(d.t, os.WriteFile(r.settingsFile(), []byte(r.Settings()), 0o600))
 	r.start()
-	d.t.Cleanup(func() { r.kill(); _ = p.listener.Close(); _ = log.Close() })
+	d.t.Cleanup(func() { r.kill(); p.stopListening(); _ = log.Close() })
 	d.routers = append(d.routers, r)
 }
 
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -24,13 +24,14 @@
 // proxy is a TCP proxy to one server with injected faults. It is safe for
 // concurrent use.
 type proxy struct {
-	listener net.Listener
-	target   string
+	ownAddress string
+	target     string
 
-	mu      sync.Mutex
-	mode    mode
-	changed chan struct{} // closed and replaced on each change of mode
-	conns   map[net.Conn]bool
+	mu       sync.Mutex
+	listener net.Listener
+	mode     mode
+	changed  chan struct{} // closed and replaced on each change of mode
+	conns    map[net.Conn]bool
 }
 
 func newProxy(address, target string) (*proxy, error) {
@@ -38,12 +39,34 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	go p.accept()
+	p := &proxy{ownAddress: listener.Addr().String(), listener: listener, target: target, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string { return p.ownAddress }
+
+// stopListening makes the host refuse connections, as without a process on the port.
+func (p *proxy) stopListening() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+// listenAgain ends stopListening.
+func (p *proxy) listenAgain() {
+	for {
+		listener, err := net.Listen("tcp", p.address())
+		if err == nil {
+			p.mu.Lock()
+			p.listener = listener
+			p.mu.Unlock()
+			go p.accept(listener)
+			return
+		}
+		time.Sleep(10 * time.Millisecond) // connections of the proxy may still end
+	}
+}
 
 // setMode changes the mode for open and new connections.
 func (p *proxy) setMode(m mode) {
@@ -87,9 +110,9 @@
 	delete(p.conns, c)
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -64,14 +64,20 @@
 func runSeed(t *testing.T, seed uint64, duration time.Duration) {
 	d := newDeployment(t)
 	require.Eventually(t, d.allReady, 5*time.Second, 20*time.Millisecond)
-	outcomeLog := &outcomeLog{}
+	soundLog := &outcomeLog{}
 	ctx, stop := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i := range callerCount {
-		callers.Go(func() { d.runCaller(ctx, outcomeLog, seed, i) })
+		callers.Go(func() { d.runCaller(ctx, soundLog, seed, i) })
 	}
+	deadlyLog := &outcomeLog{}
+	deadlyCtx, stopDeadly := context.WithCancel(ctx)
+	callers.Go(func() { d.runDeadlyCaller(deadlyCtx, deadlyLog, seed) })
 	injector := &injector{d: d, rng: rand.New(rand.NewPCG(seed, 99))}
+	d.setDeadlyPart(deadlyPart)
 	injector.run(duration)
+	d.setDeadlyPart("")
+	stopDeadly()
 	faultsEnded := time.Now()
 	assert.Eventually(t, d.allReady, recoveryLimit, 50*time.Millisecond, "routers must be ready again")
 	time.Sleep(2 * time.Second)
@@ -79,9 +85,10 @@
 	drained := injector.drain()
 	stop()
 	callers.Wait()
-	checkOutcomes(t, d, injector.revocation.allowed(outcomeLog.all()), faultsEnded)
-	injector.revocation.check(t, d, outcomeLog.all())
-	checkRequests(t, d, outcomeLog.all(), injector.disturbed)
+	checkOutcomes(t, d, injector.revocation.allowed(soundLog.all()), faultsEnded)
+	injector.revocation.check(t, d, soundLog.all())
+	checkRequests(t, d, soundLog.all(), injector.disturbed)
+	checkCrashes(t, d, deadlyLog.all(), injector.disturbed)
 	for _, r := range drained {
 		delay := r.LastStart().Sub(injector.drainedAt)
 		assert.Less(t, delay, drainLimit, "runner %s received a request too long after it announced that it was leaving", r.ID)
