gateway: barred parts outlast all routers

Cause: the evidence is in the memory of the routers, and a fleet that ends at once has none left.

The barred parts, not the other evidence, are now kept in one object of the routers' own in the store. The router of each region that watches the store writes it when they change; each router reads it once at its start, by a read that may be stale. A store that is away delays both and stops nothing. Ages in it count from the time of day at which it was written; a clock that is behind makes evidence younger, never older than it was.

TestBarredPartsOutlastAllRouters fails before (nothing in the store).

--- a/gateway/crash_test.go
+++ b/gateway/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -80,3 +81,32 @@
 	assert.Equal(t, http.StatusServiceUnavailable, last.status)
 	assert.Empty(t, last.header.Get("Retry-After"), "nobody knows when the part will be sound")
 }
+
+// Parts that are barred must stay barred when all routers end at once and start again
+// without any memory.
+func TestBarredPartsOutlastAllRouters(t *testing.T) {
+	s := newSite(t, 6, 0)
+	for _, e := range s.engines {
+		e.SetDeadlyPart(deadlyPart)
+	}
+	r := s.start(true)
+	barred := func() bool {
+		got := r.ask(promptWith("subject:50," + deadlyPart + ":100"))
+		return got.err == nil && got.status == http.StatusServiceUnavailable && strings.Contains(got.body, "crashes")
+	}
+	require.Eventually(t, barred, 20*time.Second, 50*time.Millisecond, "the part is barred")
+	require.Eventually(t, func() bool { return len(s.store.Names("quarantine")) == 1 }, 3*time.Second, 20*time.Millisecond)
+	r.stop()
+	require.NoError(t, <-r.exited)
+	r.exited <- nil
+
+	r = s.start(true)
+	crashed := time.Now()
+	time.Sleep(500 * time.Millisecond) // until the store has been read
+	for range 10 {
+		assert.True(t, barred())
+	}
+	assert.Zero(t, s.deadlyArrivals(crashed))
+	got := r.ask(promptWith("other:50"))
+	assert.Equal(t, http.StatusOK, got.status, got.body)
+}
--- /dev/null
+++ b/gateway/verdicts.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/lacewingshift/lacewingshift/pause"
+	"github.com/lacewingshift/lacewingshift/quarantine"
+)
+
+const (
+	// verdictsInterval is the time between checks whether the barred parts have changed
+	// and have to be saved, and between attempts to load them.
+	verdictsInterval = 500 * time.Millisecond
+	// loadTimeout is how long a router tries to load the barred parts. It then knows
+	// those that other routers have told it.
+	loadTimeout = 30 * time.Second
+)
+
+// keepVerdicts loads the parts that were barred when the router starts, and saves them
+// when they change while this router watches the store, until ctx ends.
+func (x *exchange) keepVerdicts(ctx context.Context) error {
+	x.loadVerdicts(ctx)
+	saved := ""
+	for pause.For(ctx, verdictsInterval) == nil {
+		now := time.Now()
+		barred, summary := x.pools.verdicts(now)
+		if summary == saved || !x.watchesStore(now) {
+			continue
+		}
+		if err := x.feed.SaveVerdicts(ctx, now, barred); err != nil {
+			x.logger.Warn("saving the barred parts failed", "parts", len(barred), "err", err)
+			continue
+		}
+		saved = summary
+		x.logger.Info("barred parts saved", "parts", len(barred))
+	}
+	return nil
+}
+
+// loadVerdicts adds the saved verdicts to what this router knows.
+func (x *exchange) loadVerdicts(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		now := time.Now()
+		barred, err := x.feed.LoadVerdicts(ctx, now)
+		if err == nil {
+			if len(barred) > 0 {
+				x.logger.Info("barred parts loaded", "parts", len(barred))
+				x.pools.mergeSuspects(now, barred)
+			}
+			return
+		}
+		x.logger.Warn("loading the barred parts failed", "err", err)
+		_ = pause.For(ctx, verdictsInterval)
+	}
+}
+
+// watchesStore reports whether this router is the one of its region that watches the
+// store.
+func (x *exchange) watchesStore(now time.Time) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.table.WatchRank(now) == 0
+}
+
+// verdicts returns the barred parts, and a summary that changes with them.
+func (p *pools) verdicts(now time.Time) (barred []quarantine.Suspect, summary string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.quarantine.Verdicts(now)
+}
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -40,18 +40,23 @@
 	list := make([]Suspect, 0, min(len(keys), maxReported))
 	for _, k := range keys[:min(len(keys), maxReported)] {
 		s := t.suspects[k]
-		entry := Suspect{Service: k.Service, Part: k.Part, Trials: s.trials}
-		if s.trials > 0 {
-			entry.TrialAgeMs = now.Sub(s.trialAt).Milliseconds()
-		}
-		for id, c := range s.crashes {
-			entry.Crashes = append(entry.Crashes, Crash{Instance: id, AgeMs: now.Sub(c.at).Milliseconds(), Begun: c.begun, Cleared: c.cleared})
-		}
-		list = append(list, entry)
+		list = append(list, s.report(now, k))
 	}
 	return list
 }
 
+// report returns the evidence against a part.
+func (s *suspect) report(now time.Time, k Key) Suspect {
+	entry := Suspect{Service: k.Service, Part: k.Part, Trials: s.trials}
+	if s.trials > 0 {
+		entry.TrialAgeMs = now.Sub(s.trialAt).Milliseconds()
+	}
+	for id, c := range s.crashes {
+		entry.Crashes = append(entry.Crashes, Crash{Instance: id, AgeMs: now.Sub(c.at).Milliseconds(), Begun: c.begun, Cleared: c.cleared})
+	}
+	return entry
+}
+
 // Merge adds what another router knows. Entries that cannot be right are left out.
 func (t *Table) Merge(now time.Time, suspects []Suspect) {
 	news := false
