fake/site: a crash resets the runner's connections

Trace: the upstream was answering without framing when it crashed on the deadly part; the stand-in closed its connections in order, so that the stream ended between two events, and nothing on the wire tells that from its end (docs/platform.md, questions). The stand-in resets now. The product does not change.

--- a/fake/site/crash.go
+++ b/fake/site/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -41,7 +42,19 @@
 	return false
 }
 
-// Crash ends all connections and refuses new ones until the runner starts again, as a
+// trackConnection keeps the open connections, which a crash resets.
+func (r *Runner) trackConnection(c net.Conn, state http.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		r.connections[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(r.connections, c)
+	}
+}
+
+// Crash resets all connections and refuses new ones until the runner starts again, as a
 // new incarnation that has nothing cached.
 func (r *Runner) Crash() {
 	r.mu.Lock()
@@ -51,6 +64,11 @@
 	}
 	r.down = true
 	r.crashes = append(r.crashes, time.Now())
+	for c := range r.connections {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // an error means that the connection has ended
+		}
+	}
 	_ = r.server.Close()
 	if r.OnCrash != nil {
 		r.OnCrash()
--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -95,19 +95,20 @@
 	readLock      sync.Mutex // prompts are read one after the other
 	slotSemaphore chan struct{}
 
-	mu         sync.Mutex
-	runs       map[string]int // by request id
-	lastStart  time.Time      // start of the latest run
-	headers    map[string]http.Header
-	state      string
-	born       int64 // start of the incarnation in Unix milliseconds
-	arrivals   []Arrival
-	running    int
-	cached     map[string]bool // prompt prefixes whose parts are cached
-	tokensRead int             // prompt tokens read so far
-	crashes    []time.Time
-	down       bool // crashed and not yet started again
-	closed     bool // for good
+	mu          sync.Mutex
+	runs        map[string]int // by request id
+	lastStart   time.Time      // start of the latest run
+	headers     map[string]http.Header
+	state       string
+	born        int64 // start of the incarnation in Unix milliseconds
+	arrivals    []Arrival
+	running     int
+	cached      map[string]bool // prompt prefixes whose parts are cached
+	tokensRead  int             // prompt tokens read so far
+	connections map[net.Conn]bool
+	crashes     []time.Time
+	down        bool // crashed and not yet started again
+	closed      bool // for good
 }
 
 const (
@@ -136,12 +137,12 @@
 
 // serve serves on a listener in the background, until the server is closed.
 func (r *Runner) serve(listener net.Listener) {
-	server := &http.Server{Handler: r, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+	server := &http.Server{Handler: r, ConnState: r.trackConnection, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, &runnerConnection{Conn: c})
 	}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.server, r.down = server, false
+	r.server, r.down, r.connections = server, false, map[net.Conn]bool{}
 	if r.closed {
 		_ = listener.Close()
 		return
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -35,6 +35,7 @@
 var regressionSeeds = []uint64{
 	20, // pauses of a stopped router were counted as slowness of its engines
 	38, // routers kept each other from retrying an upstream
+	20261218, 20261250, // a crashed runner closed streams without framing between two events; it resets them now
 }
 
 func envInt(name string, fallback int) int {
