--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,8 +33,8 @@
 
 // regressionSeeds are seeds that once failed, with the cause of the failure.
 var regressionSeeds = []uint64{
-	20, // pauses of a stopped router were counted as slowness of its engines
-	38, // routers kept each other from retrying an upstream
+	20,                 // pauses of a stopped router were counted as slowness of its engines
+	38,                 // routers kept each other from retrying an upstream
 	20261218, 20261250, // a crashed runner closed streams without framing between two events; it resets them now
 }
 
