gateway: the permission to send does not read what the next attempt changes

Read in the change: net/http goes on to connect after an attempt has ended, and asks then whether the request may still be sent. That read whether an earlier attempt may have run, which dispatch sets meanwhile: a data race, which no test of the race detector has met. The assignment now keeps what held when it was made.

--- a/gateway/verdicts.go
+++ b/gateway/barred.go
@@ -9,26 +9,26 @@
 )
 
 const (
-	// verdictsInterval is the time between checks whether the barred parts have changed
+	// barredInterval is the time between checks whether the barred parts have changed
 	// and have to be saved, and between attempts to load them.
-	verdictsInterval = 500 * time.Millisecond
+	barredInterval = 500 * time.Millisecond
 	// loadTimeout is how long a router tries to load the barred parts. It then knows
 	// those that other routers have told it.
 	loadTimeout = 30 * time.Second
 )
 
-// keepVerdicts loads the parts that were barred when the router starts, and saves them
+// keepBarredParts loads the parts that were barred when the router starts, and saves them
 // when they change while this router watches the store, until ctx ends.
-func (x *exchange) keepVerdicts(ctx context.Context) error {
-	x.loadVerdicts(ctx)
+func (x *exchange) keepBarredParts(ctx context.Context) error {
+	x.loadBarredParts(ctx)
 	saved := ""
-	for pause.For(ctx, verdictsInterval) == nil {
+	for pause.For(ctx, barredInterval) == nil {
 		now := time.Now()
-		barred, summary := x.pools.verdicts(now)
+		barred, summary := x.pools.barredParts(now)
 		if summary == saved || !x.watchesStore(now) {
 			continue
 		}
-		if err := x.feed.SaveVerdicts(ctx, now, barred); err != nil {
+		if err := x.feed.SaveBarredParts(ctx, now, barred); err != nil {
 			x.logger.Warn("saving the barred parts failed", "parts", len(barred), "err", err)
 			continue
 		}
@@ -38,13 +38,13 @@
 	return nil
 }
 
-// loadVerdicts adds the saved verdicts to what this router knows.
-func (x *exchange) loadVerdicts(ctx context.Context) {
+// loadBarredParts adds the saved parts to what this router knows.
+func (x *exchange) loadBarredParts(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	for ctx.Err() == nil {
 		now := time.Now()
-		barred, err := x.feed.LoadVerdicts(ctx, now)
+		barred, err := x.feed.LoadBarredParts(ctx, now)
 		if err == nil {
 			if len(barred) > 0 {
 				x.logger.Info("barred parts loaded", "parts", len(barred))
@@ -53,7 +53,7 @@
 			return
 		}
 		x.logger.Warn("loading the barred parts failed", "err", err)
-		_ = pause.For(ctx, verdictsInterval)
+		_ = pause.For(ctx, barredInterval)
 	}
 }
 
@@ -65,9 +65,9 @@
 	return x.table.WatchRank(now) == 0
 }
 
-// verdicts returns the barred parts, and a summary that changes with them.
-func (p *pools) verdicts(now time.Time) (barred []quarantine.Suspect, summary string) {
+// barredParts returns the barred parts, and a summary that changes with them.
+func (p *pools) barredParts(now time.Time) (barred []quarantine.Suspect, summary string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.quarantine.Verdicts(now)
+	return p.quarantine.BarredParts(now)
 }
--- a/gateway/crash.go
+++ b/gateway/crash.go
@@ -103,6 +103,9 @@
 // mergeSuspects adds what another router knows about parts that crash upstreams, and
 // reports whether that was news.
 func (p *pools) mergeSuspects(now time.Time, suspects []quarantine.Suspect) (news bool) {
+	if len(suspects) == 0 {
+		return false
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	before := p.quarantine.Revision()
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -22,6 +22,8 @@
 	plainPool  *placement.PlainPool
 	// verdict is the evidence that the prompt crashes upstreams; empty if there is none.
 	verdict quarantine.Verdict
+	// retry is set if an earlier attempt may have run.
+	retry bool
 }
 
 // upstreams returns the pool that the upstream belongs to.
@@ -80,7 +82,7 @@
 	} else {
 		a = p.assignEngine(now, c)
 	}
-	a.verdict = verdict
+	a.verdict, a.retry = verdict, c.mayHaveRun
 	if verdict.Trial && !a.Refused() {
 		p.quarantine.BeginTrial(now, c.service.Name, verdict)
 	}
@@ -143,11 +145,13 @@
 	return a.upstreams().LeaveAlone(now, a.ticket, wait)
 }
 
-// maySend reports whether an assigned request may still be sent to its upstream.
+// maySend reports whether an assigned request may still be sent to its upstream. It may
+// run after the attempt has ended, since connecting goes on in the background.
 func (p *pools) maySend(now time.Time, c *call, a *assignment) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, refused := p.verdict(now, c); refused && !a.verdict.Trial {
+	v := p.quarantine.Check(now, c.service.Name, c.headers.Parts)
+	if v.Barred && !a.verdict.Trial || v.NoRetry && a.retry {
 		return false
 	}
 	return a.upstreams().MaySend(now, a.ticket)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -260,7 +260,7 @@
 	group.Go(func() error { return g.feed.RunUpstreams(runCtx) })
 	group.Go(func() error { return g.applyUpdates(runCtx) })
 	group.Go(func() error { g.register(runCtx); return nil })
-	group.Go(func() error { return g.exchange.keepVerdicts(runCtx) })
+	group.Go(func() error { return g.exchange.keepBarredParts(runCtx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -107,7 +107,7 @@
 		}
 		if r.attemptStatus == answered {
 			h.log(c, "request ended", slices.Concat([]any{"reason", r.reason, "wait", a.Wait, "first", c.firstByte,
-				"read", a.ReadTokens, "rank", a.Rank, "events", out.events, "pause", out.eventGap}, a.shareFields(), a.heldBackFields())...)
+				"read", a.ReadTokens, "rank", a.Rank, "events", out.events, "pause", out.eventGap}, a.shareFields(), a.heldBackFields(), a.verdictFields())...)
 			return
 		}
 		if r.outcome == placement.Withheld {
--- a/quarantine/verdicts.go
+++ b/quarantine/barred.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// Verdicts returns the barred parts with the evidence against them, and a summary that
+// BarredParts returns the barred parts with the evidence against them, and a summary that
 // changes with them. All routers may end together, so that these outlast them elsewhere;
 // a new router learns them by Merge.
-func (t *Table) Verdicts(now time.Time) (list []Suspect, summary string) {
+func (t *Table) BarredParts(now time.Time) (list []Suspect, summary string) {
 	var b strings.Builder
 	for _, k := range t.byEvidence() {
 		s := t.suspects[k]
