fake/site: a crash does not wait for itself

Crash closed the server while it held the runner's lock; closing waits for the accept loop, which waited for that lock to note a new connection. The connections have a lock of their own now.

--- a/fake/site/crash.go
+++ b/fake/site/crash.go
@@ -44,8 +44,8 @@
 
 // trackConnection keeps the open connections, which a crash resets.
 func (r *Runner) trackConnection(c net.Conn, state http.ConnState) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.connectionsMu.Lock()
+	defer r.connectionsMu.Unlock()
 	switch state {
 	case http.StateNew:
 		r.connections[c] = true
@@ -64,11 +64,7 @@
 	}
 	r.down = true
 	r.crashes = append(r.crashes, time.Now())
-	for c := range r.connections {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // an error means that the connection has ended
-		}
-	}
+	r.resetAtClose()
 	_ = r.server.Close()
 	if r.OnCrash != nil {
 		r.OnCrash()
@@ -77,6 +73,17 @@
 	time.AfterFunc(restartAfter, r.startAgain)
 }
 
+// resetAtClose makes the open connections end with a reset when they are closed.
+func (r *Runner) resetAtClose() {
+	r.connectionsMu.Lock()
+	defer r.connectionsMu.Unlock()
+	for c := range r.connections {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // an error means that the connection has ended
+		}
+	}
+}
+
 func (r *Runner) startAgain() {
 	for !r.isClosed() {
 		listener, err := net.Listen("tcp", r.Address())
--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -95,20 +95,24 @@
 	readLock      sync.Mutex // prompts are read one after the other
 	slotSemaphore chan struct{}
 
-	mu          sync.Mutex
-	runs        map[string]int // by request id
-	lastStart   time.Time      // start of the latest run
-	headers     map[string]http.Header
-	state       string
-	born        int64 // start of the incarnation in Unix milliseconds
-	arrivals    []Arrival
-	running     int
-	cached      map[string]bool // prompt prefixes whose parts are cached
-	tokensRead  int             // prompt tokens read so far
-	connections map[net.Conn]bool
-	crashes     []time.Time
-	down        bool // crashed and not yet started again
-	closed      bool // for good
+	// connections holds the open connections. It has a lock of its own, since closing the
+	// server waits for connections that are being added.
+	connectionsMu sync.Mutex
+	connections   map[net.Conn]bool
+
+	mu         sync.Mutex
+	runs       map[string]int // by request id
+	lastStart  time.Time      // start of the latest run
+	headers    map[string]http.Header
+	state      string
+	born       int64 // start of the incarnation in Unix milliseconds
+	arrivals   []Arrival
+	running    int
+	cached     map[string]bool // prompt prefixes whose parts are cached
+	tokensRead int             // prompt tokens read so far
+	crashes    []time.Time
+	down       bool // crashed and not yet started again
+	closed     bool // for good
 }
 
 const (
@@ -125,7 +129,7 @@
 		return nil, err
 	}
 	r.store, r.listener, r.state, r.born = store, listener, "ready", firstBorn
-	r.runs, r.headers, r.cached = map[string]int{}, map[string]http.Header{}, map[string]bool{}
+	r.runs, r.headers, r.cached, r.connections = map[string]int{}, map[string]http.Header{}, map[string]bool{}, map[net.Conn]bool{}
 	if r.Slots == 0 {
 		r.Slots = defaultSlots
 	}
@@ -142,7 +146,7 @@
 	}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.server, r.down, r.connections = server, false, map[net.Conn]bool{}
+	r.server, r.down = server, false
 	if r.closed {
 		_ = listener.Close()
 		return
