fleet: news about crashes is repeated at once, at any pace

Cause: news is sent three times, but in a large data centre at its pace, 600 ms apart, so that each lost message costs as much.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -109,7 +109,7 @@
 	if active {
 		messages = append(messages, Message{To: t.dueProbes(now), Kind: KindProbe, Envelope: Envelope{Report: own}})
 	}
-	if active && (due(now, t.digestsAt, t.pace(t.self.DataCentre)) || t.digestVersions != own.versions()) {
+	if active && (due(now, t.digestsAt, t.pace(t.self.DataCentre)) || t.digestVersions != own.versions() || t.digestSuspects.repeating(own.SuspectsRevision)) {
 		t.digestsAt, t.digestVersions = now, own.versions()
 		messages = append(messages, t.digestMessages(now, own, suspects)...)
 	}
@@ -135,7 +135,7 @@
 // reportDue reports whether the relays are due for a report. Relays report to each
 // other at each interval, because silence makes the next one take over.
 func (t *Table) reportDue(now time.Time, own *Report, isRelay bool) bool {
-	return isRelay || t.reported != own.versions() || due(now, t.reportedAt, t.pace(t.self.DataCentre))
+	return isRelay || t.reported != own.versions() || t.suspects.repeating(own.SuspectsRevision) || due(now, t.reportedAt, t.pace(t.self.DataCentre))
 }
 
 // resyncRequests asks relays whose digests were lost to begin their streams again.
--- a/fleet/suspects.go
+++ b/fleet/suspects.go
@@ -20,6 +20,12 @@
 	messages int // since the revision changed
 }
 
+// repeating reports whether news has been sent, and is to be sent again without waiting
+// for the pace of a large data centre.
+func (r *repeatedSuspects) repeating(revision int) bool {
+	return revision == r.revision && r.messages > 0 && r.messages < suspectsAtOnce
+}
+
 // next returns the evidence for the next message, nil if it does not need any. repeat
 // is the number of messages after which unchanged evidence is sent again.
 func (r *repeatedSuspects) next(suspects []quarantine.Suspect, revision, repeat int) []quarantine.Suspect {
