--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -22,7 +22,8 @@
 )
 
 var cases = map[string]func(*bench) (int, error){
-	"cut-answers": cutAnswers,
+	"cut-answers":     cutAnswers,
+	"returned-runner": returnedRunner,
 }
 
 func main() {
