--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -23,6 +23,7 @@
 
 var cases = map[string]func(*bench) (int, error){
 	"cut-answers":     cutAnswers,
+	"changed-path":    changedPath,
 	"returned-runner": returnedRunner,
 }
 
