--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -25,6 +25,7 @@
 	"cut-answers":     cutAnswers,
 	"changed-path":    changedPath,
 	"returned-runner": returnedRunner,
+	"grown-fleet":     grownFleet,
 }
 
 func main() {
