fleet: sums that placement uses no longer share maps with digests

Cause: Totals of a router that gets digests from a relay returned the maps of the stream. The exchange passes them to placement after it has released the lock of the table, and the next digest changes them. Without relays the sums are new maps.

The users' run with -race named only these maps. TestSumsInUseAreNotChangedByLaterMessages failed before with 18 and 67 routers, not with 9.

Ruled out: reports, evidence against parts, lists of live routers and messages as shared state (read; run with -race below).

Change: the result is a copy.

--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -301,7 +301,8 @@
 	}
 }
 
-// Totals returns the sums over the other routers.
+// Totals returns the sums over the other routers. The result belongs to the caller:
+// later messages do not change it.
 func (t *Table) Totals(now time.Time) *Totals {
 	usesRelays := t.usesRelays(now)
 	if s := t.freshStream(now, ""); s != nil && usesRelays {
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/placement"
 )
@@ -225,6 +226,37 @@
 	assert.Equal(t, 3, digests, "one relay of each data centre sends digests")
 }
 
+// Placement reads sums after the lock of the table is released; in fleets with relays they
+// shared maps with the digests that arrived meanwhile, which ended the process.
+func TestSumsInUseAreNotChangedByLaterMessages(t *testing.T) {
+	for _, routers := range []int{9, 18, 67} {
+		n := newNetwork(routers, 3, 0)
+		requests := 1
+		n.report = func(string) *Report {
+			return &Report{
+				Loads:           []placement.Load{{Upstream: fmt.Sprint("u", requests), Requests: requests, Failing: true}},
+				WorkspaceTokens: map[string]fairshare.Tokens{"w": {Granted: float64(requests)}},
+				Retries:         map[string]budget.Counts{"s": {Requests: requests}},
+				Leaving:         []placement.Instance{{Upstream: fmt.Sprint("u", requests)}},
+			}
+		}
+		n.run(t, 2*time.Second)
+		inUse, asReturned := map[string]*Totals{}, map[string]*Totals{}
+		for host, table := range n.tables {
+			inUse[host] = table.Totals(n.now)
+			copied := NewTotals()
+			copied.Add(inUse[host])
+			asReturned[host] = copied
+		}
+		requests = 2
+		n.run(t, 2*time.Second)
+		for host, table := range n.tables {
+			assert.Equal(t, asReturned[host], inUse[host], "%d routers, %s", routers, host)
+			assert.NotEqual(t, inUse[host].WorkspaceTokens, table.Totals(n.now).WorkspaceTokens, "later digests arrived")
+		}
+	}
+}
+
 // Routers of a large fleet that start together connect to the relays, not to all
 // others: 5,112 connections took 38 processor seconds and 0.11 GB between regions
 // at the start of grown Solas.
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -70,6 +70,9 @@
 	// Suspects is the evidence against parts of prompts that crash upstreams, as far as
 	// the sender knows it. It is missing in most messages, see repeatedSuspects.
 	Suspects []quarantine.Suspect `cbor:"17,keyasint,omitempty"`
+	// StoreFailedMs is how long ago a call of this router to the store failed, if that
+	// was after the store's last confirmation. Otherwise it is 0.
+	StoreFailedMs int64 `cbor:"18,keyasint,omitempty"`
 	// SuspectsRevision changes with news in Suspects. It is not sent.
 	SuspectsRevision int `cbor:"-"`
 }
--- a/fleet/totals.go
+++ b/fleet/totals.go
@@ -43,11 +43,14 @@
 	return time.Duration(t.AgeMs) * time.Millisecond / time.Duration(t.Routers)
 }
 
-// aged returns t with all reports older by age. The result shares the maps of t.
+// aged returns a copy of t with all reports older by age.
 func (t *Totals) aged(age time.Duration) *Totals {
-	older := *t
-	older.AgeMs += int64(t.Routers) * age.Milliseconds()
-	return &older
+	return &Totals{
+		Routers: t.Routers, AgeMs: t.AgeMs + int64(t.Routers)*age.Milliseconds(),
+		Loads: maps.Clone(t.Loads), Failing: maps.Clone(t.Failing),
+		WorkspaceTokens: maps.Clone(t.WorkspaceTokens), Retries: maps.Clone(t.Retries),
+		Leaving: maps.Clone(t.Leaving),
+	}
 }
 
 // AddReport adds a report of the given age, or with sign -1 subtracts it. Upstreams that
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -34,6 +34,18 @@
 // Uptime returns the time since this router started.
 func (t *Table) Uptime(now time.Time) time.Duration { return now.Sub(t.startedAt) }
 
+// StoreFailedAge returns how long ago a call of any other live router to the store
+// failed after the last confirmation that it knew, or ForgetAfter if none did.
+func (t *Table) StoreFailedAge(now time.Time) time.Duration {
+	age := ForgetAfter
+	for _, m := range t.members {
+		if t.hasFreshReport(now, m) && m.report.StoreFailedMs > 0 {
+			age = min(age, time.Duration(m.report.StoreFailedMs)*time.Millisecond+now.Sub(m.reportedAt))
+		}
+	}
+	return age
+}
+
 // ConfirmedAge returns how long ago the store last confirmed its versions to any
 // other live router. Changes before that reach this router through that router's
 // reports.
