fake/site: faults of single hosts take effect

Cause: the stand-in of the store told its callers apart by their IP address, but on loopback all connections come from the same one, so SetHostFault had no effect. TestRouterWithoutStoreLearnsFromOtherRouters passed without its fault.

Seen while a test of a takeover of the watch was written: the log of the router that was to be cut off shows no failed call.

Change: the stand-in opens an address of its own for each host.

--- a/fake/site/store.go
+++ b/fake/site/store.go
@@ -42,7 +42,8 @@
 	oldest     int64 // watches from earlier revisions get 410
 	changed    chan struct{}
 	fault      Fault
-	hostFaults map[string]Fault // by the client's IP address
+	hosts      map[string]string // by the address of AddressFor
+	hostFaults map[string]Fault
 	calls      int
 	delay      time.Duration // of every response
 }
@@ -73,7 +74,7 @@
 	}
 	s := &Store{
 		listener: listener, revision: 1, objects: map[string]map[string]*object{},
-		changed: make(chan struct{}), hostFaults: map[string]Fault{},
+		changed: make(chan struct{}), hosts: map[string]string{}, hostFaults: map[string]Fault{},
 	}
 	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }() // ends with Close
@@ -83,6 +84,25 @@
 // Address returns the address on which the store listens.
 func (s *Store) Address() string { return s.listener.Addr().String() }
 
+// AddressFor opens and returns an address of the store for the calls of one host. On
+// loopback connections the addresses of callers do not tell them apart.
+func (s *Store) AddressFor(host string) (string, error) {
+	ip, _, err := net.SplitHostPort(s.Address())
+	if err != nil {
+		return "", err
+	}
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	address := listener.Addr().String()
+	s.mu.Lock()
+	s.hosts[address] = host
+	s.mu.Unlock()
+	go func() { _ = s.server.Serve(listener) }() // ends with Close
+	return address, nil
+}
+
 // Close stops the store and closes its connections.
 func (s *Store) Close() { _ = s.server.Close() }
 
@@ -94,11 +114,11 @@
 	s.notify()
 }
 
-// SetHostFault sets the fault of the calls from one IP address.
-func (s *Store) SetHostFault(address string, f Fault) {
+// SetHostFault sets the fault of the calls of one host; see AddressFor.
+func (s *Store) SetHostFault(host string, f Fault) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hostFaults[address] = f
+	s.hostFaults[host] = f
 	s.notify()
 }
 
@@ -197,8 +217,9 @@
 		return
 	}
 	kind, name, _ := strings.Cut(path, "/")
-	host, _, _ := net.SplitHostPort(r.RemoteAddr)
+	address, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
 	s.mu.Lock()
+	host := s.hosts[address.String()]
 	s.calls++
 	delay := s.delay
 	fault := s.faultOf(host)
@@ -218,7 +239,7 @@
 	answer(w, status, body)
 }
 
-// faultOf returns the fault of the calls from one IP address.
+// faultOf returns the fault of the calls of one host.
 func (s *Store) faultOf(host string) Fault {
 	if f := s.hostFaults[host]; f != NoFault {
 		return f
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -75,7 +75,10 @@
 func (s *testSite) start(waitReady bool) *testRouter {
 	s.t.Helper()
 	r := &testRouter{exited: make(chan error, 1)}
-	r.IP, r.Seed, r.Store, r.Grace = s.ip(len(s.routers)+1), s.ip(1), s.store.Address(), 3*time.Second
+	r.IP, r.Seed, r.Grace = s.ip(len(s.routers)+1), s.ip(1), 3*time.Second
+	store, err := s.store.AddressFor(r.IP)
+	require.NoError(s.t, err)
+	r.Store = store
 	r.Name = "router-" + r.IP
 	settings, err := platform.ParseSettings([]byte(r.Settings()))
 	require.NoError(s.t, err)
