versioned: rosters hold what the store lists; each router retains missing upstreams itself

Cause: entries that are missing after an outage were part of the roster that all routers share, by the belief of one router that had no age. A router that learnt of the store's return from another one kept the note of the outage and its old list until it took over the watch; its first answer then counted as the end of an outage, and its roster got the newest revision.

Change: rosters hold only what the store lists. Retention keeps missing entries in use at each router; it takes an outage from the age of the store's latest confirmation to any router and from the age of the latest failed call, which reports now carry. The grace period counts from the first confirmation anywhere.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -19,9 +19,6 @@
 const (
 	// fetchTimeout bounds the fetch of a newer version from another router.
 	fetchTimeout = 800 * time.Millisecond
-	// staleAfter is the age from which the confirmations of the watching routers
-	// are too old to rely on: one watch, its slack and one report.
-	staleAfter = 2200 * time.Millisecond
 	// freshWatch is the age up to which this router's own watch will deliver a
 	// change, so that there is no need to fetch it from another router.
 	freshWatch = 1600 * time.Millisecond
@@ -48,6 +45,7 @@
 	pools              *pools
 	logger             *log.Logger
 	reportNow          chan struct{} // see triggerReport
+	missingDropped     chan struct{} // signals that missing upstreams are no longer in use
 	sentBytes          func(kind fleet.Kind, to fleet.Distance, bytes int)
 	ctx                context.Context
 
@@ -59,6 +57,9 @@
 	live     map[string]fleet.State // by host, as of the latest logMembership
 	fetching map[item]bool
 	history  versioned.History // of upstreams
+	// retention holds the upstreams in use.
+	retention     versioned.Retention
+	storeFailedAt time.Time // latest failed call of this router
 
 	wholeMu sync.Mutex
 	// wholeRoster and wholeConfig are compressed when they are first asked for.
@@ -101,7 +102,9 @@
 	x.pools.fillReport(now, report)
 	x.mu.Lock()
 	x.table.Step(now)
-	report.StoreAgeMs = min(x.storeAge(now), x.table.ConfirmedAge(now), maxAge).Milliseconds()
+	age := x.confirmedAge(now)
+	report.StoreAgeMs, report.StoreFailedMs = age.Milliseconds(), x.storeFailedMs(now, age)
+	x.stepRetention(now)
 	messages := x.encode(x.table.Messages(now, report))
 	addresses := x.table.Addresses()
 	reports := x.table.Reports(now)
@@ -183,6 +186,46 @@
 	return max(x.config.Age(now, maxAge), x.upstreams.Age(now, maxAge))
 }
 
+// confirmedAge returns the time since the store last confirmed its versions to any
+// router. The caller must hold mu.
+func (x *exchange) confirmedAge(now time.Time) time.Duration {
+	return min(x.storeAge(now), x.table.ConfirmedAge(now), maxAge)
+}
+
+// storeFailedMs returns the value of that name in a report, in which the store's last
+// confirmation has the given age. The caller must hold mu.
+func (x *exchange) storeFailedMs(now time.Time, confirmedAge time.Duration) int64 {
+	age := now.Sub(x.storeFailedAt)
+	if age >= confirmedAge {
+		return 0
+	}
+	return max(age.Milliseconds(), 1)
+}
+
+// stepRetention advances the time of the upstreams in use. The caller must hold mu.
+func (x *exchange) stepRetention(now time.Time) {
+	failedAge := min(now.Sub(x.storeFailedAt), x.table.StoreFailedAge(now))
+	if x.retention.Step(now, now.Add(-x.confirmedAge(now)), now.Add(-failedAge)) {
+		x.logger.Info("upstreams that are still missing after an outage of the store are no longer used")
+		select {
+		case x.missingDropped <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// use sets the latest roster and returns the upstreams to use.
+func (x *exchange) use(now time.Time, latest versioned.Snapshot[*versioned.Roster]) *versioned.Roster {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.history.Record(latest.Value, latest.Version)
+	x.stepRetention(now)
+	for _, u := range x.retention.List(now, latest.Value) {
+		x.logger.Info("removed upstream stays in use after an outage of the store", "upstream", u.ID, "version", latest.Version)
+	}
+	return x.retention.Roster()
+}
+
 // logMembership logs routers that appear, disappear or change state.
 func (x *exchange) logMembership(now time.Time) {
 	live := map[string]fleet.State{}
@@ -249,12 +292,18 @@
 	return x.guard.MayAct(boottime.Now())
 }
 
-// StoreUnreachable implements platform.Watcher.
-func (x *exchange) StoreUnreachable() bool {
-	now := time.Now()
+// StoreFailed implements platform.Watcher.
+func (x *exchange) StoreFailed() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.storeFailedAt = time.Now()
+}
+
+// WatchTimeout implements platform.Watcher.
+func (x *exchange) WatchTimeout(longest time.Duration) time.Duration {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return min(x.table.ConfirmedAge(now), x.storeAge(now)) > staleAfter
+	return x.retention.WatchTimeout(time.Now(), longest)
 }
 
 // Watches implements platform.Watcher. A router without a configuration or upstreams
@@ -271,7 +320,7 @@
 	if rank == 0 {
 		return true
 	}
-	takeover := staleAfter + min(time.Duration(rank-1)*takeoverStep, maxTakeover)
+	takeover := versioned.StaleAfter + min(time.Duration(rank-1)*takeoverStep, maxTakeover)
 	return x.table.ConfirmedAge(now) > takeover
 }
 
--- a/gateway/exchange_test.go
+++ b/gateway/exchange_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"testing"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/assert"
@@ -26,10 +25,9 @@
 // A router that is a few versions behind must not fetch the whole roster: with 3,000
 // upstreams it has 200 KB, and 300 routers fetched it at each change.
 func TestFetchOfUpstreamsCarriesChangesOnly(t *testing.T) {
-	now := time.Unix(1000, 0)
 	x := &exchange{}
 	for version := int64(1); version <= 5; version++ {
-		x.remember(versioned.Snapshot[*versioned.Roster]{Value: largeRoster(int(version)), Version: version, ReceivedAt: now})
+		x.history.Record(largeRoster(int(version)), version)
 	}
 	for _, test := range []struct {
 		since    int64
--- a/gateway/fetch.go
+++ b/gateway/fetch.go
@@ -231,13 +231,6 @@
 	return response, kindUpstreams, err
 }
 
-// remember keeps a roster for upstreamsResponse.
-func (x *exchange) remember(roster versioned.Snapshot[*versioned.Roster]) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.history.Record(roster.Value, roster.Version)
-}
-
 // confirmVersions asks a live router, the nearest one first, which versions it holds,
 // and fetches newer ones from it.
 func (x *exchange) confirmVersions() {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,7 +152,7 @@
 	g.transport = peer.NewQUIC(s.PeerAddress, identity, event.NewClock(nil), socket)
 	g.exchange = &exchange{
 		transport: g.transport, config: g.config, upstreams: g.upstreams, pools: g.pools,
-		dataCentre: s.DataCentre, region: s.Region, logger: g.logger.WithPrefix("fleet"), reportNow: make(chan struct{}, 1), sentBytes: metrics.sentToRouter,
+		dataCentre: s.DataCentre, region: s.Region, logger: g.logger.WithPrefix("fleet"), reportNow: make(chan struct{}, 1), missingDropped: make(chan struct{}, 1), sentBytes: metrics.sentToRouter,
 		table: fleet.NewTable(self, s.SeedAddresses, now), live: map[string]fleet.State{}, fetching: map[item]bool{},
 	}
 	g.transport.Handle(peer.PartFleet, peer.Handler{OnMessage: g.exchange.receive, OnRequest: g.exchange.serveFetch})
@@ -343,8 +343,8 @@
 		configChanged, upstreamsChanged := g.config.Changed(), g.upstreams.Changed()
 		config, upstreams := g.config.Get(), g.upstreams.Get()
 		if config.Version > 0 && upstreams.Value != nil {
-			g.exchange.remember(upstreams)
-			g.pools.configure(time.Now(), config.Value.Table, upstreams.Value.Service)
+			now := time.Now()
+			g.pools.configure(now, config.Value.Table, g.exchange.use(now, upstreams).Service)
 			g.configured.Store(true)
 			if g.state() == shutdown.Serving {
 				g.exchange.setState(fleet.Ready)
@@ -356,6 +356,7 @@
 			return nil
 		case <-configChanged:
 		case <-upstreamsChanged:
+		case <-g.exchange.missingDropped:
 		}
 	}
 }
--- a/versioned/versioned_test.go
+++ b/versioned/versioned_test.go
@@ -53,49 +53,6 @@
 	return ids
 }
 
-var start = time.Unix(1000, 0)
-
-// Entries that expired while the store was down are restored within two seconds;
-// until then their upstreams remain in the roster.
-func TestMissingEntriesAreKeptForAWhile(t *testing.T) {
-	r := NewRegistry()
-	r.Replace(start, []catalog.Upstream{upstream("a", "1"), upstream("b", "2"), upstream("c", "3")})
-	r.StoreDown()
-	recovered := start.Add(6 * time.Second)
-	r.Replace(recovered, []catalog.Upstream{upstream("a", "1")})
-	assert.Equal(t, []string{"a", "b", "c"}, ids(r.Roster()))
-	r.Put(recovered.Add(time.Second), upstream("b", "2"))
-	assert.False(t, r.DropMissing(recovered.Add(MissingGrace-time.Millisecond)))
-	assert.LessOrEqual(t, r.WatchTimeout(recovered.Add(2*time.Second), time.Minute), MissingGrace)
-	assert.True(t, r.DropMissing(recovered.Add(MissingGrace)))
-	assert.Equal(t, []string{"a", "b"}, ids(r.Roster()))
-}
-
-// A removal without a store outage takes effect at once. On Piedmont trouble-1 a
-// router that had been cut off from the store kept the removed entry.
-func TestRemovalWithoutOutageTakesEffectAtOnce(t *testing.T) {
-	r := NewRegistry()
-	r.Replace(start, []catalog.Upstream{upstream("a", "1"), upstream("b", "2")})
-	// The router's own calls failed, but other routers had answers, so StoreDown is
-	// not called.
-	r.Replace(start.Add(5*time.Second), []catalog.Upstream{upstream("a", "1")})
-	assert.Equal(t, []string{"a"}, ids(r.Roster()))
-	r.Remove(start.Add(6*time.Second), "a")
-	assert.Empty(t, ids(r.Roster()))
-}
-
-// A draining upstream is not kept, nor is one whose address another upstream has
-// taken over.
-func TestDrainingAndReplacedEntriesAreNotKept(t *testing.T) {
-	r := NewRegistry()
-	draining := upstream("a", "1")
-	draining.Draining = true
-	r.Replace(start, []catalog.Upstream{draining, upstream("b", "2")})
-	r.StoreDown()
-	r.Replace(start.Add(5*time.Second), []catalog.Upstream{upstream("c", "2")})
-	assert.Equal(t, []string{"c"}, ids(r.Roster()))
-}
-
 // drawRoster draws a roster of a few upstreams that differ in one field or another.
 func drawRoster(t *rapid.T, label string) *Roster {
 	return NewRoster(rapid.SliceOfDistinct(rapid.Custom(func(t *rapid.T) catalog.Upstream {
@@ -126,12 +83,12 @@
 func TestEntryWrittenAgainIsNoChange(t *testing.T) {
 	r := NewRegistry()
 	u := upstream("a", "1")
-	assert.True(t, r.Put(start, u))
-	assert.False(t, r.Put(start, u))
+	assert.True(t, r.Put(u))
+	assert.False(t, r.Put(u))
 	u.Draining = true
-	assert.True(t, r.Put(start, u))
-	assert.True(t, r.Remove(start, "a"))
-	assert.False(t, r.Remove(start, "a"))
+	assert.True(t, r.Put(u))
+	assert.True(t, r.Remove("a"))
+	assert.False(t, r.Remove("a"))
 }
 
 // A history must lead from any recorded version to the latest one, must not claim to
