gateway: a stopping router sends no late requests on and answers those it gives up

Cause: the state of the stop was looked at once, after the head of a request, and the exit closed the connections of requests in progress.

Ruled out: requests whose head comes while the router refuses (503, as before).

Change: turning requests away is part of the permission to send, for requests that have not run. At the exit attempts in progress are given up 150 ms before the connections close, so that callers get 502, or 503 if nothing was sent.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,9 +34,11 @@
 	// router exits exitMargin before it would be killed.
 	refuseAfterRatio = 0.375
 	exitMargin       = 600 * time.Millisecond
-	// lastAnswersTimeout bounds the answers to requests that are being read when the
-	// router exits. It is part of exitMargin.
+	// lastAnswersTimeout bounds the answers to requests that are being read or are in
+	// progress when the router exits. It is part of exitMargin. Those that upstreams
+	// still work on in the last giveUpTimeout of it are given up and answered.
 	lastAnswersTimeout = 300 * time.Millisecond
+	giveUpTimeout      = 150 * time.Millisecond
 	lastAnswersPoll    = 2 * time.Millisecond
 	// closeTimeout bounds closing the connections to other routers.
 	closeTimeout = 100 * time.Millisecond
@@ -80,6 +82,7 @@
 	intake       *intakeListener // one of listeners, for callers
 	callerServer *http.Server
 	otherServers []*http.Server // for readiness, lookups and metrics
+	giveUp       func()         // ends the attempts in progress when the router exits
 
 	mu              sync.Mutex
 	machine         *shutdown.Machine
@@ -114,7 +117,10 @@
 	}
 	g.feed = platform.NewFeed(g.store, g.config, g.upstreams, g.exchange, logger.WithPrefix("store"))
 	g.exchange.feed = g.feed
+	exit, giveUp := context.WithCancel(context.Background())
+	g.giveUp = giveUp
 	g.handler = &Handler{
+		exit:   exit,
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: metrics,
 		stopState: g.state, requestArrived: g.requestArrived,
 		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, mayAct: g.exchange.mayAct, triggerReport: g.exchange.triggerReport, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
@@ -308,6 +314,7 @@
 func (g *Gateway) closeCallers() {
 	ctx, cancel := context.WithTimeout(context.Background(), lastAnswersTimeout)
 	defer cancel()
+	defer time.AfterFunc(lastAnswersTimeout-giveUpTimeout, g.giveUp).Stop()
 	for g.intake.hasQueued() && ctx.Err() == nil {
 		_ = pause.For(ctx, lastAnswersPoll)
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -34,8 +35,10 @@
 	// checked again. The bodies of most requests arrive together with their
 	// headers.
 	slowBodyRead = 20 * time.Millisecond
-	// reasonPaused is the reason of refusals after a pause of the process.
+	// reasonPaused is the reason of refusals after a pause of the process, reasonStops of
+	// those by a stopping router.
 	reasonPaused = "router was paused"
+	reasonStops  = "router stops"
 	// defaultCallerTimeout applies to callers that state no deadline.
 	defaultCallerTimeout = 30 * time.Second
 )
@@ -62,6 +65,8 @@
 	// manyConnections reports whether callers hold so many connections that they
 	// are closed after each response.
 	manyConnections func() bool
+	// exit ends when the router exits: requests in progress are answered at once.
+	exit context.Context
 
 	inProgress          atomic.Int64
 	mu                  sync.Mutex // guards the fields below
@@ -85,7 +90,7 @@
 		return
 	}
 	if state >= shutdown.Refusing {
-		h.refuse(w, c, notReadyRetry, "router stops")
+		h.refuse(w, c, notReadyRetry, reasonStops)
 		return
 	}
 	h.abortIfCallerLeft(c)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -18,12 +18,14 @@
 	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/platform"
+	"github.com/lacewingshift/lacewingshift/shutdown"
 )
 
 // Causes with which a router cancels an attempt.
 var (
 	errSilent   = eris.New("upstream is silent")
 	errDeadline = eris.New("request deadline exceeded")
+	errExits    = eris.New("router exits")
 )
 
 // errWithheld ends an attempt whose permission to send has ended before it was sent.
@@ -81,6 +83,10 @@
 			h.giveUp(out, c, http.StatusServiceUnavailable, reasonPaused, notReadyRetry)
 			return
 		}
+		if h.turnsAway(c) {
+			h.giveUp(out, c, http.StatusServiceUnavailable, reasonStops, notReadyRetry)
+			return
+		}
 		a, ok := h.nextAssignment(now, c)
 		if !ok {
 			h.giveUp(out, c, http.StatusBadGateway, "no further attempt allowed", max(notReadyRetry, h.pools.freeIn(now, c.service)))
@@ -126,6 +132,10 @@
 	}
 }
 
+// turnsAway reports whether the router stops and a request that has not run is left to
+// another router. Its answer could come too late for this one.
+func (h *Handler) turnsAway(c *call) bool { return !c.mayHaveRun && h.stopState() >= shutdown.Refusing }
+
 // nextAssignment returns the upstream for the next attempt: the one that the watchdog
 // of a silent attempt has reserved, or a new one. It returns false if no further
 // attempt is allowed.
@@ -198,8 +208,9 @@
 	defer timer.Stop()
 	watchdog := h.newWatchdog(c, cancel)
 	defer watchdog.stop()
+	defer context.AfterFunc(h.exit, func() { cancel(errExits) })()
 
-	permitted := func() bool { return h.mayAct() && h.pools.maySend(time.Now(), c, a) }
+	permitted := func() bool { return h.mayAct() && !h.turnsAway(c) && h.pools.maySend(time.Now(), c, a) }
 	if !permitted() {
 		return classify(ctx, errWithheld, false, false)
 	}
@@ -234,6 +245,8 @@
 		return result{status, placement.Failed, "upstream is silent"}
 	case errors.Is(cause, errDeadline):
 		return result{status, placement.Failed, "no answer in time"}
+	case errors.Is(cause, errExits):
+		return result{status, placement.Abandoned, errExits.Error()}
 	case cause != nil:
 		return result{status, placement.Abandoned, "caller left"}
 	case !connected:
