gateway: large bodies and unfinished events share a memory budget

What callers would see: a small router runs out of memory and ends, with all requests on it (reports of operators: answers without end).

Cause: each stream may hold 1 MiB of an event that has not ended, and each caller a body up to the limit of the configuration, with no bound on all together. The buffer of a body was made in the size that the caller announced.

Ruled out: heads without end (16 MB with 160 requests), events without end from fast engines, which end at 1 MiB one after the other (126 to 138 MB).

Change: what requests hold beyond 64 KiB each comes from a budget of a tenth of the router's memory. Without room a body is refused as not run, and a stream goes on elsewhere or breaks off, as for an event above 1 MiB.

The Handler of refusal_test gets the new field; its assertions are unchanged.

TestHeadThatEndsEarlyIsNoAnswer is new and passes without a change: a head that ends at any byte, closed or reset, reaches no caller as an answer.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -29,6 +29,7 @@
 	WrongRequestID             // responds with the id of another request
 	EndlessHead                // sends a response head without end
 	EndlessBody                // sends a body without end and, in a stream, without events
+	StalledEvent               // sends StalledEventBytes of a body without an event, and then nothing
 	RepeatedAnswer             // sends a plain answer again when the next request arrives on its connection
 	AnonymousRepeat            // as RepeatedAnswer, without a request id in the second copy
 	Dripping                   // sends a comment line now and then in place of events
@@ -50,8 +51,10 @@
 // SlowPause is the pause in a SlowStream. DripInterval is the time between two
 // comment lines of a Dripping runner.
 const (
-	SlowPause    = 1800 * time.Millisecond
-	DripInterval = 300 * time.Millisecond
+	SlowPause = 1800 * time.Millisecond
+	// StalledEventBytes is the size of the event that a StalledEvent runner begins.
+	StalledEventBytes = 1000 << 10
+	DripInterval      = 300 * time.Millisecond
 )
 
 // connectionKey is the context key of a caller's connection.
@@ -290,6 +293,10 @@
 		r.sendEndless(w, request)
 		return
 	}
+	if b == StalledEvent {
+		r.sendStalled(w, request)
+		return
+	}
 	if r.Events > 0 {
 		r.stream(w, request, b)
 		return
@@ -357,6 +364,16 @@
 	}
 }
 
+// sendStalled sends the begin of an event and waits until the caller closes the
+// connection.
+func (r *Runner) sendStalled(w http.ResponseWriter, request *http.Request) {
+	if _, err := io.WriteString(w, strings.Repeat("x", StalledEventBytes)); err != nil {
+		return
+	}
+	_ = http.NewResponseController(w).Flush() // an error shows in the context
+	<-request.Context().Done()
+}
+
 // EndlessBytes returns how many bytes EndlessHead and EndlessBody have sent so far.
 func (r *Runner) EndlessBytes() int64 { return r.endlessBytes.Load() }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -120,7 +120,7 @@
 	exit, giveUp := context.WithCancel(context.Background())
 	g.giveUp = giveUp
 	g.handler = &Handler{
-		exit:   exit,
+		exit: exit, memory: newMemoryBudget(s.MemoryLimit),
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: metrics,
 		stopState: g.state, requestArrived: g.requestArrived,
 		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, mayAct: g.exchange.mayAct, triggerReport: g.exchange.triggerReport, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -68,6 +68,7 @@
 	// exit ends when the router exits: requests in progress are answered at once.
 	exit context.Context
 
+	memory              *memoryBudget
 	inProgress          atomic.Int64
 	mu                  sync.Mutex // guards the fields below
 	gate                *overload.Gate
@@ -103,7 +104,9 @@
 		return
 	}
 	readStart := time.Now()
-	if !h.readBody(w, c) {
+	held := heldMemory{budget: h.memory}
+	defer held.release()
+	if !h.readBody(w, c, &held) {
 		return
 	}
 	if time.Since(readStart) > slowBodyRead {
@@ -176,15 +179,21 @@
 
 // readBody reads the whole body, because a retry at another upstream needs it
 // again.
-func (h *Handler) readBody(w http.ResponseWriter, c *call) bool {
+func (h *Handler) readBody(w http.ResponseWriter, c *call, held *heldMemory) bool {
 	limit := h.config.Get().Value.Limits.BodyBytes
 	var body bytes.Buffer
-	body.Grow(int(min(max(c.request.ContentLength, 0), limit)) + bytes.MinRead)
-	_, err := body.ReadFrom(http.MaxBytesReader(w, c.request.Body, limit))
+	// A caller may announce more than it sends.
+	body.Grow(int(min(max(c.request.ContentLength, 0), limit, ownMemory)) + bytes.MinRead)
+	_, err := body.ReadFrom(&heldReader{body: http.MaxBytesReader(w, c.request.Body, limit), held: held})
 	if err == nil {
 		c.body = body.Bytes()
 		return true
 	}
+	if errors.Is(err, errNoMemory) {
+		w.Header().Set("Connection", "close")
+		h.refuse(w, c, placement.Jitter(placement.MinRetryAfter, rand.Float64()), errNoMemory.Error())
+		return false
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		h.reject(w, c, http.StatusRequestEntityTooLarge, "body is larger than the limit")
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -26,7 +26,8 @@
 	maxEventBytes = 1 << 20
 )
 
-// errEventTooLarge ends a stream whose event exceeds maxEventBytes.
+// errEventTooLarge ends a stream whose event exceeds maxEventBytes, or for which the
+// memory budget has no room.
 var errEventTooLarge = eris.New("event is larger than the limit")
 
 // reasonNotTheRest is the reason of attempts whose answer does not continue the stream that
@@ -108,6 +109,8 @@
 		return result{maybeRan, placement.Failed, reasonNotTheRest}
 	}
 	var events eventBuffer
+	held := heldMemory{budget: h.memory}
+	defer held.release()
 	eventsBefore := out.events
 	chunk := make([]byte, streamReadSize)
 	for {
@@ -134,7 +137,7 @@
 		if errors.Is(err, io.EOF) {
 			return h.endStream(out, c, a, response, &events)
 		}
-		if err == nil && len(events.pending) > maxEventBytes {
+		if err == nil && (len(events.pending) > maxEventBytes || !held.set(int64(len(events.pending)))) {
 			err = errEventTooLarge
 		}
 		if err != nil {
