gateway: large answers are not cut off while they arrive

Cause: the time limit for a silent upstream counts from the begin of the attempt for answers that are no streams. It went on after the first 64 KiB had been passed on, when no other upstream can replace the answer any more.

Ruled out: deadline and route timeout (750 of 2,500 ms), a silent upstream.

Change: the limit ends with the first 64 KiB. Smaller answers keep it.

--- a/gateway/cuthead_test.go
+++ b/gateway/cuthead_test.go
@@ -10,7 +10,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/fake/site"
 )
@@ -21,9 +20,7 @@
 func (s *testSite) cutHeads(service string, host int) (answers *atomic.Int64) {
 	s.t.Helper()
 	answers = &atomic.Int64{}
-	listener, err := net.Listen("tcp", s.ip(host)+":8080")
-	require.NoError(s.t, err)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.serve(service, host, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // nothing follows from an error
 		connection, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
@@ -39,11 +36,6 @@
 		if tcp, ok := connection.(*net.TCPConn); ok && r.Header.Get("Cut-Reset") != "" {
 			_ = tcp.SetLinger(0)
 		}
-	})}
-	go func() { _ = server.Serve(listener) }() // ends with Close
-	s.t.Cleanup(func() { server.Close() })
-	s.store.Put("servers", "cut", map[string]any{
-		"service": service, "address": listener.Addr().String(), "zone": "a", "slots": 8, "state": "ready", "born": 1,
 	})
 	return answers
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -53,12 +53,17 @@
 }
 
 // relayBuffered relays a response that is not a stream. A response up to
-// bufferLimit is read whole before it is sent.
-func (h *Handler) relayBuffered(ctx context.Context, out *callerResponse, c *call, a *assignment, response *http.Response) result {
+// bufferLimit is read whole before it is sent. Nothing can replace a larger one once its
+// begin has been sent, however slowly the rest arrives.
+func (h *Handler) relayBuffered(ctx context.Context, out *callerResponse, c *call, a *assignment, response *http.Response, watchdog *watchdog) result {
 	if out.started {
 		return result{maybeRan, placement.Failed, "upstream failed in the middle of a stream"}
 	}
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferLimit))
+	watchdog.stop()
+	if err == nil && len(buffered) == bufferLimit {
+		err = ctx.Err() // the watchdog may have ended the attempt just before
+	}
 	if err != nil {
 		c.progress.lost = isConnectionLost(err)
 		r := classify(ctx, err, true, true)
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -309,7 +309,7 @@
 	case success && c.route.Kind == catalog.Stream:
 		return h.relayStream(ctx, out, c, a, response, watchdog)
 	}
-	return h.relayBuffered(ctx, out, c, a, response)
+	return h.relayBuffered(ctx, out, c, a, response, watchdog)
 }
 
 // noteUpstream records what an upstream says about itself, before its answer is passed
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -71,6 +71,20 @@
 	return started
 }
 
+// serve registers handler as an upstream with the id "own" on the address with the last
+// byte host.
+func (s *testSite) serve(service string, host int, handler http.HandlerFunc) {
+	s.t.Helper()
+	listener, err := net.Listen("tcp", s.ip(host)+":8080")
+	require.NoError(s.t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }() // ends with Close
+	s.t.Cleanup(func() { server.Close() })
+	s.store.Put("servers", "own", map[string]any{
+		"service": service, "address": listener.Addr().String(), "zone": "a", "slots": 8, "state": "ready", "born": 1,
+	})
+}
+
 // start starts a router and, if waitReady is set, waits until it is ready.
 func (s *testSite) start(waitReady bool) *testRouter {
 	s.t.Helper()
