gateway: an answer without event ids is not continued by another upstream

Cause: what follows a broken-off stream has to come after the last id that the caller has. Without any id everything counted as the rest, and the watchdog of a silent stream took a document for one, as documents have no events.

Evidence: TestSlowLargeAnswerIsNotCutOff/document_on_a_stream_route failed with "a document" followed by "id: 1"; it passes now.

Change: a response that has begun with anything but comments and has no id yet cannot be continued: the watchdog stops, and the caller sees a break as such. Events without ids between numbered ones, such as pings, change nothing.

--- a/gateway/continue_test.go
+++ b/gateway/continue_test.go
@@ -34,3 +34,21 @@
 		assert.Equal(t, c.continues, out.continuesWith([]byte(c.next)), "%q after %q", c.next, c.sent)
 	}
 }
+
+// A document, or events without ids, must not be followed by another upstream's answer.
+func TestAnswerWithoutIDsIsNotContinued(t *testing.T) {
+	for sent, continues := range map[string]bool{
+		"":                                   true,
+		": comment\n\n":                      true,
+		"id: 1\ndata: a\n\n":                 true,
+		"event: e\nid: 1\ndata: a\n\n":       true,
+		"data: hello\n\nid: 1\ndata: a\n\n":  true,
+		"data: a\n\n":                        false,
+		": comment\n\nevent: e\ndata: a\n\n": false,
+		"{\"text\": \"a document\"}\r\n\r\n": false,
+	} {
+		var out callerResponse
+		out.recordEvents([]byte(sent))
+		assert.Equal(t, continues, out.canContinue(), "after %q", sent)
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -44,6 +44,7 @@
 	lastEventID string        // id of the last event that was sent to the caller
 	consecutive bool          // the ids of the events are numbers without gaps
 	events      int           // number of events with an id that were sent
+	unnumbered  bool          // something other than comments was sent before the first id
 	lastEventAt time.Time     // when events were last sent
 	eventGap    time.Duration // longest gap between two events
 }
@@ -128,7 +129,10 @@
 			if err := h.forward(out, c, a, response, whole); err != nil {
 				return result{answered, placement.Abandoned, "caller left"}
 			}
-			if out.events > before {
+			switch {
+			case !out.canContinue():
+				watchdog.stop()
+			case out.events > before:
 				watchdog.reset()
 			}
 			if before == eventsBefore {
@@ -213,10 +217,16 @@
 			r.consecutive = isNumber(id) && (r.events == 0 || r.consecutive && follows(r.lastEventID, id))
 			r.lastEventID = id
 			r.events++
+		} else if r.lastEventID == "" && !isComment(line) {
+			r.unnumbered = true
 		}
 	}
 }
 
+// canContinue reports whether another upstream can continue the response. It cannot if
+// the caller has received something that no id tells from the begin of another answer.
+func (r *callerResponse) canContinue() bool { return r.lastEventID != "" || !r.unnumbered }
+
 // continuesWith reports whether events may follow those that were sent to the caller.
 // After events with ids only events with later ones may, and none may be missing.
 func (r *callerResponse) continuesWith(events []byte) bool {
@@ -253,6 +263,12 @@
 	return bytes.ReplaceAll(events, []byte("\r"), []byte("\n"))
 }
 
+// isComment reports whether a line of a stream is empty or a comment.
+func isComment(line []byte) bool {
+	line = bytes.TrimRight(line, "\r\n")
+	return len(line) == 0 || line[0] == ':'
+}
+
 func isNumber(id string) bool {
 	_, err := strconv.ParseUint(id, 10, 64)
 	return err == nil
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -124,7 +124,7 @@
 		h.metrics.attemptsFailed.Inc()
 		h.log(c, "attempt failed", "reason", r.reason, "may_have_run", r.attemptStatus == maybeRan, "wait", a.Wait,
 			"events", out.events-eventsBefore, "parts", c.partIDs())
-		final := c.mayHaveRun && !c.route.Retryable() || out.started && c.route.Kind != catalog.Stream
+		final := c.mayHaveRun && !c.route.Retryable() || out.started && (c.route.Kind != catalog.Stream || !out.canContinue())
 		if final || r.outcome == placement.Abandoned {
 			h.giveUp(out, c, http.StatusBadGateway, r.reason, 0)
 			return
--- a/gateway/slow_test.go
+++ b/gateway/slow_test.go
@@ -40,12 +40,14 @@
 // in the middle when another upstream was free, although no other answer can follow.
 func TestSlowLargeAnswerIsNotCutOff(t *testing.T) {
 	large := bytes.Repeat([]byte("0123456789abcde\n"), 16<<10)
+	document := bytes.Repeat([]byte("a document\n\n"), 1<<10)
 	for name, test := range map[string]struct {
 		service, path string
 		handler       http.HandlerFunc
 		body          []byte
 	}{
-		"idempotent request": {site.PlainService, site.StatusPath, evenPace("text/plain", large, 1800*time.Millisecond), large},
+		"idempotent request":         {site.PlainService, site.StatusPath, evenPace("text/plain", large, 1800*time.Millisecond), large},
+		"document on a stream route": {site.EngineService, site.StreamPath, evenPace("text/plain", document, 3*time.Second), document},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, 0, 0)
