gateway: a path that begins with two slashes is sent on unchanged

Cause: the target is handed to net/http as an opaque URL, and net/url writes an opaque part that begins with two slashes with the scheme before it.

Ruled out: the reading of the request and the matching of routes.

Change: such targets are set as path, encoded path and query, if net/http then writes them unchanged; otherwise, with characters that a path may not have, they get 400.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,7 @@
 	route         *catalog.Route
 	service       *catalog.Service
 	workspace     *catalog.Workspace // nil for public routes
+	target        *url.URL           // without a host
 	body          []byte
 
 	attempts   int
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -10,7 +10,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -154,6 +153,10 @@
 		h.reject(w, c, http.StatusRequestHeaderFieldsTooLarge, "headers are larger than the limit")
 		return false
 	}
+	if c.target, err = upstreamURL(target(c.request)); err != nil {
+		h.reject(w, c, http.StatusBadRequest, err.Error())
+		return false
+	}
 	callerTimeout := headers.CallerTimeout
 	if callerTimeout <= 0 {
 		callerTimeout = defaultCallerTimeout
@@ -289,11 +292,3 @@
 	}
 	return size
 }
-
-// target returns the request target as the caller sent it.
-func target(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
-		return r.RequestURI
-	}
-	return r.URL.RequestURI()
-}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -261,10 +260,11 @@
 	fields := platform.SystemFields{
 		Instance: a.Upstream.ID, Workspace: c.workspaceName(), Remaining: c.remaining(time.Now()), LastEvent: out.lastEventID,
 	}
-	uri := target(c.request)
+	target := *c.target
+	target.Host = a.Upstream.Address
 	request := &http.Request{
 		Method: c.request.Method,
-		URL:    &url.URL{Scheme: "http", Host: a.Upstream.Address, Opaque: uri},
+		URL:    &target,
 		Host:   c.request.Host,
 		Header: platform.UpstreamHeader(c.request.Header, fields),
 		Proto:  "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
