fleet: routers of another region cannot rule out an outage of the store

What callers would see: when regions part and the store is in another one, the upstreams of a region cannot renew their entries. After the partition its routers would drop all of them at once, although they had used them all the time.

Cause: any router for which the store had answered ended the grace period.

TestRouterThatWasCutOffUsesNoRemovedUpstreams has the case "the store answered another region", which failed before (1 upstream, 2 used).

Change: only routers of the same region count.

--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -47,11 +47,13 @@
 }
 
 // StoreAnswersSince returns since when the store has answered without an interruption, as
-// the live router says that has seen it for the longest time; zero if none has.
+// the live router of this region says that has seen it for the longest time; zero if none
+// has. Routers elsewhere cannot tell whether the upstreams of this region could reach the
+// store.
 func (t *Table) StoreAnswersSince(now time.Time) time.Time {
 	var since time.Time
 	for _, m := range t.members {
-		if !t.hasFreshReport(now, m) || m.report.StoreAnswersMs == 0 {
+		if !t.hasFreshReport(now, m) || m.report.StoreAnswersMs == 0 || m.record.Region != t.self.Region {
 			continue
 		}
 		if s := m.reportedAt.Add(-time.Duration(m.report.StoreAnswersMs) * time.Millisecond); since.IsZero() || s.Before(since) {
--- a/gateway/cutoff_test.go
+++ b/gateway/cutoff_test.go
@@ -18,24 +18,26 @@
 // the store, and went on using upstreams that had been removed meanwhile.
 func TestRouterThatWasCutOffUsesNoRemovedUpstreams(t *testing.T) {
 	for name, test := range map[string]struct {
-		answersMs int64 // of the store, as another router reports when the cut has healed
-		used      int   // upstreams
+		region    string // of another router
+		answersMs int64  // of the store, as that router reports when the cut has healed
+		used      int    // upstreams
 	}{
-		"the store answered others": {60_000, 1},
-		"the store answered nobody": {200, 2},
-		"others do not say":         {0, 2},
+		"the store answered others":         {"r", 60_000, 1},
+		"the store answered nobody":         {"r", 200, 2},
+		"others do not say":                 {"r", 0, 2},
+		"the store answered another region": {"other", 60_000, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Now()
 			x := &exchange{
 				config: versioned.NewLatest[platform.Config](), upstreams: versioned.NewLatest[*versioned.Roster](),
 				logger: log.New(io.Discard), missingDropped: make(chan struct{}, 1),
-				table: fleet.NewTable(fleet.Record{Host: "a", DataCentre: "d"}, nil, now),
+				table: fleet.NewTable(fleet.Record{Host: "a", DataCentre: "d", Region: "r"}, nil, now),
 			}
 			sequence := uint64(0)
 			hear := func(answersMs int64) {
 				sequence++
-				report := &fleet.Report{Record: fleet.Record{Host: "b", DataCentre: "d", Incarnation: 1, State: fleet.Ready}, Sequence: sequence, StoreAgeMs: 100, StoreAnswersMs: answersMs}
+				report := &fleet.Report{Record: fleet.Record{Host: "b", DataCentre: "d", Region: test.region, Incarnation: 1, State: fleet.Ready}, Sequence: sequence, StoreAgeMs: 100, StoreAnswersMs: answersMs}
 				x.table.Receive(now, &fleet.Envelope{Report: report})
 			}
 			step := func(ticks int) {
