soak: the race detector no longer delays the end of router processes

Cause: the runtime of the race detector sleeps 1 s before a process ends. Since the soak builds its routers with it, that counts against their grace period.

Its log says "router exits" 1.5 s after "router stops", with no request in progress; the process ended over 2 s later.

--- a/soak/deployment_test.go
+++ b/soak/deployment_test.go
@@ -136,7 +136,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	command := exec.Command(binary, "serve")
-	command.Env = []string{platform.SettingsFileVariable + "=" + r.settingsFile()}
+	command.Env = []string{
+		platform.SettingsFileVariable + "=" + r.settingsFile(),
+		"GORACE=atexit_sleep_ms=0", // the race detector would add 1 s to the end of the process
+	}
 	command.Stdout, command.Stderr = r.log, r.log
 	if err := command.Start(); err != nil {
 		r.d.t.Errorf("router %d did not start: %v", r.index, err)
