placement: rules of package eligibility decide first which upstreams may get a request

Cause: whether an upstream may get a request was decided inside the loops of the two pools, so each new constraint (permitted regions, evacuated data centres, cold upstreams) would have been written twice. Ruled out: rules inside package gateway, which would have to know the candidates.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/platform"
 )
@@ -105,6 +106,9 @@
 	return placement.EngineRequest{
 		Parts: c.headers.Parts, InputTokens: c.headers.PromptTokens, OutputTokens: c.expectedOutput(),
 		TargetLatency: c.route.TargetLatency, TargetGap: c.route.TargetGap, Exclude: c.tried,
-		Usage: share.usage, BeyondShare: !share.within, MayExceed: share.mayExceed,
+		Usage: share.usage, BeyondShare: !share.within, MayExceed: share.mayExceed, Eligibility: c.eligibility(),
 	}
 }
+
+// eligibility returns what decides which upstreams may get the request at all.
+func (c *call) eligibility() eligibility.Request { return eligibility.Request{} }
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -91,9 +91,10 @@
 
 func (p *pools) assignPlain(now time.Time, c *call) assignment {
 	a := assignment{plainPool: p.plainPool(c.service.Name)}
-	a.Decision = a.plainPool.Place(now, placement.PlainRequest{Remaining: c.remaining(now), Exclude: c.tried})
+	request := placement.PlainRequest{Remaining: c.remaining(now), Exclude: c.tried, Eligibility: c.eligibility()}
+	a.Decision = a.plainPool.Place(now, request)
 	if !a.Refused() {
-		a.ticket = a.plainPool.Sent(now, a.Upstream)
+		a.ticket = a.plainPool.Sent(now, request, a.Upstream)
 	}
 	return a
 }
--- /dev/null
+++ b/placement/choose.go
@@ -0,0 +1,92 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lacewingshift/lacewingshift/eligibility"
+)
+
+// screen decides which upstreams one request may go to. In this order an upstream is left
+// out because
+//
+//  1. the request has already been sent to it,
+//  2. a rule of package eligibility does not allow it,
+//  3. it is barred: it leaves, or asked for no requests for a time,
+//  4. too many requests have failed there, unless most upstreams are failing.
+//
+// What is left is compared by limits and cost, which engines and plain upstreams do
+// differently. If nothing is left, refuse states the reason.
+type screen struct {
+	now       time.Time
+	rules     eligibility.Chain
+	request   eligibility.Request
+	exclude   []string
+	panicking bool
+
+	barred barredUpstreams
+	// ineligible is the reason of the rule that is the last one in the chain at which an
+	// upstream was left out, passed the number of rules before it.
+	ineligible eligibility.Reason
+	passed     int
+}
+
+// newScreen returns the screen for a request to one of the candidates.
+func newScreen[S interface{ base() *upstreamState }](now time.Time, set *upstreamSet, request eligibility.Request, exclude []string, candidates []S) *screen {
+	c := &screen{now: now, rules: set.rules, request: request, exclude: exclude}
+	c.panicking = panicMode(now, c, candidates)
+	return c
+}
+
+// eligible reports whether the rules allow an upstream.
+func (c *screen) eligible(s *upstreamState) bool {
+	reason, passed := c.rules.Check(c.now, s.identity, c.request)
+	if reason == "" {
+		return true
+	}
+	if c.ineligible == "" || passed > c.passed {
+		c.ineligible, c.passed = reason, passed
+	}
+	return false
+}
+
+// admits reports whether an upstream may get the request. rank is its position in the
+// order of preference.
+func (c *screen) admits(s *upstreamState, rank int) bool {
+	if slices.Contains(c.exclude, s.upstream.ID) || !c.eligible(s) {
+		return false
+	}
+	if s.barred(c.now) {
+		c.barred.add(c.now, s, rank)
+		return false
+	}
+	return c.panicking || s.usable(c.now)
+}
+
+// refuse refuses a request that no upstream may get; point, uniform in [0, 1), spreads
+// the callers.
+func (c *screen) refuse(point float64) Decision {
+	d := c.barred.refuse(point)
+	if d.Reason == NoUpstream && c.ineligible != "" {
+		d.Reason = Reason(c.ineligible)
+	}
+	return d
+}
+
+// panicMode reports whether more than half of the candidates for a request that may get
+// it are failing. All are then used again: either the cause lies elsewhere or there is
+// nothing better.
+func panicMode[S interface{ base() *upstreamState }](now time.Time, c *screen, candidates []S) bool {
+	failing, allowed := 0, 0
+	for _, candidate := range candidates {
+		state := candidate.base()
+		if state.barred(now) || !c.eligible(state) {
+			continue
+		}
+		allowed++
+		if !state.usable(now) {
+			failing++
+		}
+	}
+	return 2*failing > allowed
+}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -2,10 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 )
 
 const (
@@ -89,6 +89,8 @@
 	BeyondShare, MayExceed bool
 	// Exclude lists the engines that the request has already been sent to.
 	Exclude []string
+	// Eligibility is what decides which engines may get the request at all.
+	Eligibility eligibility.Request
 }
 
 // EnginePool places requests on the engines of one service, as one router sees
@@ -159,26 +161,19 @@
 		return Decision{Reason: OverShare, RetryAfter: Jitter(MinRetryAfter, p.rng.Float64())}
 	}
 	hashes := prefixHashes(r.Parts)
-	homes := p.homes(hashes)
+	homes := p.homes(hashes, r.Eligibility)
 	candidates := p.candidates(now, homes)
-	panicking := panicMode(now, candidates)
+	screen := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, candidates)
 	maxWait := p.maxWait(r)
 	var best, shortest *candidate
 	usable := false
-	var barred barredUpstreams
 	for _, e := range candidates {
-		if slices.Contains(r.Exclude, e.upstream.ID) {
-			continue
-		}
-		if e.barred(now) {
-			barred.add(now, &e.upstreamState, rank(homes, e))
-			continue
-		}
-		if !panicking && !e.usable(now) {
+		rank := rank(homes, e)
+		if !screen.admits(&e.upstreamState, rank) {
 			continue
 		}
 		usable = true
-		c := p.evaluate(now, e, r, hashes, rank(homes, e))
+		c := p.evaluate(now, e, r, hashes, rank)
 		if shortest == nil || c.queueWait < shortest.queueWait {
 			shortest = &c
 		}
@@ -190,7 +185,7 @@
 		}
 	}
 	if !usable {
-		return barred.refuse(p.rng.Float64())
+		return screen.refuse(p.rng.Float64())
 	}
 	if best == nil {
 		return p.refuse(r, shortest, maxWait)
@@ -199,8 +194,8 @@
 		Upstream: best.engine.upstream, ReadTokens: best.readTokens, Rank: best.rank,
 		Wait: time.Duration(best.wait * float64(time.Millisecond)),
 	}
-	if barred.rank < best.rank {
-		d.HeldBack = barred.first
+	if screen.barred.rank < best.rank {
+		d.HeldBack = screen.barred.first
 	}
 	return d
 }
--- a/placement/health_test.go
+++ b/placement/health_test.go
@@ -25,7 +25,7 @@
 // runOne places and ends one request, and returns the upstream that it was sent to.
 func (p *PlainPool) runOne(now time.Time, outcome func(id string) Outcome) string {
 	d := p.Place(now, PlainRequest{Remaining: 5 * time.Second})
-	p.Ended(now.Add(20*time.Millisecond), p.Sent(now, d.Upstream), outcome(d.Upstream.ID))
+	p.Ended(now.Add(20*time.Millisecond), p.Sent(now, PlainRequest{}, d.Upstream), outcome(d.Upstream.ID))
 	return d.Upstream.ID
 }
 
@@ -75,7 +75,7 @@
 		if i%2 == 0 {
 			outcome = Failed
 		}
-		p.Ended(now, p.Sent(now, d.Upstream), outcome)
+		p.Ended(now, p.Sent(now, PlainRequest{}, d.Upstream), outcome)
 	}
 }
 
@@ -102,7 +102,7 @@
 // An instance that restarts under the same id starts with fresh state.
 func TestRestartedInstanceHasFreshState(t *testing.T) {
 	p := plainPool(1)
-	ticket := p.Sent(start, catalog.Upstream{ID: "p0", DataCentre: "a", Slots: 6})
+	ticket := p.Sent(start, PlainRequest{}, catalog.Upstream{ID: "p0", DataCentre: "a", Slots: 6})
 	p.SetUpstreams(start, []catalog.Upstream{{ID: "p0", DataCentre: "a", Slots: 6, StartedMs: 5}})
 	assert.Empty(t, p.Loads(start))
 	p.Ended(start, ticket, Unreachable)
--- a/placement/leaving_test.go
+++ b/placement/leaving_test.go
@@ -70,7 +70,7 @@
 				require.Greater(t, u.StartedMs, m.leftUntil[u.ID], "%s leaves", u.ID)
 				end := m.aloneEnd[instance(u)]
 				require.False(t, m.now.Before(end), "%s is left alone", u.ID)
-				m.sent = append(m.sent, m.pool.Sent(m.now, u))
+				m.sent = append(m.sent, m.pool.Sent(m.now, PlainRequest{}, u))
 				assert.True(t, m.pool.MaySend(m.now, m.sent[len(m.sent)-1]))
 			},
 			"a request ends": func(t *rapid.T) {
@@ -134,7 +134,7 @@
 // Requests must return a few at a time to an upstream that was left alone.
 func TestRequestsReturnAFewAtATime(t *testing.T) {
 	p := plainPool(1)
-	first := p.Sent(start, p.Place(start, PlainRequest{Remaining: time.Minute}).Upstream)
+	first := p.Sent(start, PlainRequest{}, p.Place(start, PlainRequest{Remaining: time.Minute}).Upstream)
 	p.LeaveAlone(start, first, time.Second)
 	p.Ended(start, first, Deferred)
 	d := p.Place(start, PlainRequest{Remaining: time.Minute})
@@ -150,7 +150,7 @@
 				assert.Equal(t, AllLeftAlone, d.Reason)
 				break
 			}
-			tickets = append(tickets, p.Sent(now, d.Upstream))
+			tickets = append(tickets, p.Sent(now, PlainRequest{}, d.Upstream))
 		}
 		assert.Len(t, tickets, limit)
 		now = now.Add(20 * time.Millisecond)
--- a/placement/member.go
+++ b/placement/member.go
@@ -8,11 +8,13 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 )
 
 // upstreamState is the state that engines and plain upstreams have in common.
 type upstreamState struct {
 	upstream  catalog.Upstream
+	identity  eligibility.Upstream // of upstream
 	idHash    uint64
 	own       Load // of this router
 	remote    Load // of the other routers together
@@ -66,6 +68,7 @@
 type upstreamSet struct {
 	location         Location
 	regions          map[string]string // region by data centre
+	rules            eligibility.Chain
 	byID             map[string]*upstreamState
 	ordered          []*upstreamState // in the order given by SetUpstreams
 	withRemote       []*upstreamState // those with a remote load or ejections, some twice
@@ -104,6 +107,7 @@
 			common.health.leave(now)
 		}
 		common.upstream, common.idHash = u, xxhash.Sum64String(u.ID)
+		common.identity = eligibility.Upstream{ID: u.ID, StartedMs: u.StartedMs, DataCentre: u.DataCentre, Region: set.regions[u.DataCentre]}
 		current[u.ID] = state
 		order = append(order, state)
 		set.byID[u.ID] = common
@@ -112,6 +116,9 @@
 	return current, order
 }
 
+// SetRules sets the rules that decide which upstreams a request may go to.
+func (set *upstreamSet) SetRules(rules eligibility.Chain) { set.rules = rules }
+
 // Loads returns this router's own loads for its report.
 func (set *upstreamSet) Loads(now time.Time) []Load {
 	var loads []Load
@@ -154,23 +161,6 @@
 	return state
 }
 
-// panicMode reports whether more than half of the candidates for a request that may get
-// it are failing. All are then used again: either the cause lies elsewhere or there is
-// nothing better.
-func panicMode[S interface{ base() *upstreamState }](now time.Time, candidates []S) bool {
-	failing, allowed := 0, 0
-	for _, state := range candidates {
-		if state.base().barred(now) {
-			continue
-		}
-		allowed++
-		if !state.base().usable(now) {
-			failing++
-		}
-	}
-	return 2*failing > allowed
-}
-
 // Limited reports whether this router considers only some of the upstreams for a
 // request, and needs to know only their loads.
 func (set *upstreamSet) Limited() bool { return set.limited }
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/lacewingshift/lacewingshift/eligibility"
 )
 
 // Part is a piece of a prompt that an engine may have cached.
@@ -33,7 +35,8 @@
 // same at all routers. The first one, with rank 0, is the home engine of the prompt.
 // The order is that of rendezvous hashing by the longest prefix that other prompts
 // share, which is everything before the last part.
-func (p *EnginePool) homes(hashes []uint64) []*engine {
+// Only engines in regions in which the request may be served count.
+func (p *EnginePool) homes(hashes []uint64, request eligibility.Request) []*engine {
 	if len(hashes) < 2 {
 		return nil
 	}
@@ -41,7 +44,7 @@
 	homes := make([]*engine, 0, maxHomes+1)
 	weights := make([]uint64, 0, maxHomes+1)
 	for _, e := range p.order {
-		if !e.health.leavingSince.IsZero() {
+		if !e.health.leavingSince.IsZero() || !request.Permits(e.identity.Region) {
 			continue
 		}
 		weight := rendezvous(shared, e.idHash)
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -2,10 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 )
 
 const (
@@ -36,6 +36,8 @@
 	Remaining time.Duration
 	// Exclude lists the upstreams that the request has already been sent to.
 	Exclude []string
+	// Eligibility is what decides which upstreams may get the request at all.
+	Eligibility eligibility.Request
 }
 
 // PlainPool places requests on the upstreams of one plain service, as one router
@@ -82,19 +84,11 @@
 // Place chooses the upstream with the lowest predicted response time, adjusted for
 // distance and failures.
 func (p *PlainPool) Place(now time.Time, r PlainRequest) Decision {
-	panicking := panicMode(now, p.near)
+	screen := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, p.near)
 	var best *plainUpstream
 	var bestCost, bestTimeMs float64
-	var barred barredUpstreams
 	for _, s := range p.near {
-		if slices.Contains(r.Exclude, s.upstream.ID) {
-			continue
-		}
-		if s.barred(now) {
-			barred.add(now, &s.upstreamState, 0)
-			continue
-		}
-		if !panicking && !s.usable(now) {
+		if !screen.admits(&s.upstreamState, 0) {
 			continue
 		}
 		predicted := s.predictTime(p.time)
@@ -107,14 +101,14 @@
 		}
 	}
 	if best == nil {
-		return barred.refuse(p.rng.Float64())
+		return screen.refuse(p.rng.Float64())
 	}
 	wait := time.Duration(bestTimeMs * float64(time.Millisecond))
 	if float64(wait) > p.policy.MaxWait*float64(r.Remaining) {
 		excess := wait - time.Duration(p.policy.MaxWait*float64(r.Remaining))
 		return Decision{Reason: Overloaded, RetryAfter: Jitter(excess+MinRetryAfter, p.rng.Float64()), Wait: wait}
 	}
-	return Decision{Upstream: best.upstream, Wait: wait, HeldBack: barred.first}
+	return Decision{Upstream: best.upstream, Wait: wait, HeldBack: screen.barred.first}
 }
 
 // predictTime returns the expected response time in ms of one more request.
@@ -134,8 +128,8 @@
 }
 
 // Sent records that a request was sent to an upstream.
-func (p *PlainPool) Sent(now time.Time, upstream catalog.Upstream) *Ticket {
-	t := &Ticket{Upstream: upstream, sent: now}
+func (p *PlainPool) Sent(now time.Time, r PlainRequest, upstream catalog.Upstream) *Ticket {
+	t := &Ticket{Upstream: upstream, request: r.Eligibility, sent: now}
 	if state := p.find(t); state != nil {
 		state.own.Requests++
 		state.health.sent()
--- a/placement/ticket.go
+++ b/placement/ticket.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 )
 
 // Ticket records one request at one upstream until it ends.
 type Ticket struct {
 	Upstream     catalog.Upstream
+	request      eligibility.Request
 	ReadTokens   int // prompt tokens that the engine is expected to read
 	memoryTokens int // KV cache tokens that the request occupies
 	queuedAhead  int // tokens queued ahead of the request when it was sent
@@ -18,7 +20,7 @@
 
 // Sent records that a request was sent to the engine of a decision.
 func (p *EnginePool) Sent(now time.Time, r EngineRequest, d Decision) *Ticket {
-	t := &Ticket{Upstream: d.Upstream, ReadTokens: d.ReadTokens, memoryTokens: r.InputTokens + r.OutputTokens, sent: now, waiting: true}
+	t := &Ticket{Upstream: d.Upstream, request: r.Eligibility, ReadTokens: d.ReadTokens, memoryTokens: r.InputTokens + r.OutputTokens, sent: now, waiting: true}
 	e := p.findEngine(t)
 	if e == nil {
 		return t
