quarantine: a crash is news of a part once, also when limits have dropped it

Routers keep different ones, as their estimates of the time differ by the delay of each message; a dropped crash came back as news, was reported at once, and displaced others. Reports that are triggered by news are at least 20 ms apart. Expired evidence is looked for with less work.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -29,6 +29,10 @@
 	// store, and maxTakeover the longest time for which one waits for its turn.
 	takeoverStep = 40 * time.Millisecond
 	maxTakeover  = time.Second
+	// triggeredGap is the shortest time between a report and one that is triggered by
+	// news. Each report costs processor time at its sender and at all recipients, which
+	// may have news to pass on themselves.
+	triggeredGap = 20 * time.Millisecond
 	// maxAge is the largest reported age of the configuration and the upstreams.
 	maxAge = time.Hour
 )
@@ -48,6 +52,7 @@
 	missingDropped     chan struct{} // signals that missing upstreams are no longer in use
 	sentBytes          func(kind fleet.Kind, to fleet.Distance, bytes int)
 	ctx                context.Context
+	tickedAt           time.Time // of the latest report; used by run only
 
 	guardMu sync.Mutex
 	guard   pause.Guard
@@ -75,8 +80,13 @@
 			return nil
 		case <-ticker.C:
 		case <-x.reportNow:
+			// News of several routers that arrive together are passed on together.
+			if pause.For(ctx, triggeredGap-time.Since(x.tickedAt)) != nil {
+				return nil
+			}
 		}
-		x.tick(time.Now())
+		x.tickedAt = time.Now()
+		x.tick(x.tickedAt)
 	}
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -72,9 +72,10 @@
 
 // Table is what one router knows of the parts that may crash upstreams.
 type Table struct {
-	suspects map[Key]*suspect
-	barred   map[Key]bool // as of the latest Changes
-	revision int
+	suspects  map[Key]*suspect
+	sightings sightings
+	barred    map[Key]bool // as of the latest Changes
+	revision  int
 	// self is the host of this router, ready those that take turns with trials.
 	self  string
 	ready []string
@@ -129,6 +130,7 @@
 
 // add adds a crash to the evidence against a part, and reports whether it was unknown.
 func (t *Table) add(k Key, id uint64, c crash) (news bool) {
+	first := t.sightings.note(k, id, &c)
 	s := t.suspects[k]
 	if s == nil {
 		s = &suspect{crashes: map[uint64]*crash{}}
@@ -138,9 +140,9 @@
 	if known == nil {
 		s.crashes[id] = &c
 		s.dropOldest()
-		return s.crashes[id] != nil && !c.cleared
+		return first && s.crashes[id] != nil && !c.cleared
 	}
-	news = c.begun && !known.begun && !known.cleared
+	news = first && c.begun && !known.begun && !known.cleared
 	if c.at.Before(known.at) {
 		known.at = c.at
 	}
@@ -230,6 +232,9 @@
 // expired reports whether nothing that is known of a part counts any more.
 func (s *suspect) expired(now time.Time) bool {
 	age := now.Sub(s.lastCrash())
+	if age <= clearedMemory {
+		return false
+	}
 	switch weight := s.weight(); {
 	case weight == 0:
 		return age > clearedMemory
@@ -242,6 +247,7 @@
 
 // Step forgets what no longer counts.
 func (t *Table) Step(now time.Time) {
+	t.sightings.step(now)
 	for k, s := range t.suspects {
 		if s.expired(now) {
 			delete(t.suspects, k)
