gateway, catalog, platform: requests stay in the regions that their route and workspace permit

The configuration may name permitted regions (allowed_regions) of routes and of workspaces; nothing read them, so any upstream could get a request.

PermittedRegions returns the intersection if both name some. call.eligibility passes it to placement, and the rule eligibility.Regions is added to every pool when a configuration names regions. A request that was resolved with such a configuration before the pools have received it adds the rule itself; without that it went to a near upstream (TestRegionsHoldBeforeThePoolsAreConfigured).

A request that no data centre may serve is refused before its body is read, with its own reason and a retry time of 5 s, as only a configuration changes that. The log names such routes and workspaces once for a configuration, in at most 20 lines. An upstream whose data centre has no known region gets no restricted requests.

Ruled out: the rule in every pool at all times, as deployments without the feature would evaluate it for each candidate; removing it again when a later configuration names no regions, since earlier requests may be in progress.

Tests run: gateway (229 s), catalog, platform, placement, fake/site pass. With an eligibility that names no regions, the new tests of gateway fail.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -55,6 +55,9 @@
 	// Resumable streams may continue at another upstream after the last event that
 	// was delivered.
 	Resumable bool
+	// Regions are those in which requests may be served; nil permits all, an empty list
+	// none.
+	Regions []string
 }
 
 // Retryable reports whether a request of this route may run more than once.
@@ -101,6 +104,9 @@
 type Workspace struct {
 	Name     string
 	Priority int
+	// Regions are those in which its requests may be served; nil permits all, an empty
+	// list none.
+	Regions []string
 }
 
 // Limits holds the limits of a configuration.
@@ -121,6 +127,7 @@
 	byHost       map[string][]*Route   // longest prefix first
 	workspaces   map[string]*Workspace // by API key
 	keysRequired bool                  // by routes that are not public
+	restricted   bool                  // a route or a workspace names regions
 }
 
 // NewTable returns the configuration with the given routes and services. Workspaces
@@ -139,6 +146,7 @@
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	t.restricted = t.restrictsRegions()
 	return t
 }
 
--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -22,9 +22,10 @@
 	Regions []string
 }
 
-// Permits reports whether the request may be served in a region.
+// Permits reports whether the request may be served in a region. Only requests that any
+// region may serve are permitted where the region is not known.
 func (r Request) Permits(region string) bool {
-	return r.Regions == nil || slices.Contains(r.Regions, region)
+	return r.Regions == nil || region != "" && slices.Contains(r.Regions, region)
 }
 
 // Reason is why an upstream must not get a request; empty if it may.
--- a/fake/site/router.go
+++ b/fake/site/router.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -14,6 +15,12 @@
 	lookupPort  = "8789"
 )
 
+// Data centre and region of routers that state none.
+const (
+	defaultZone   = "a"
+	defaultRegion = "r"
+)
+
 // readyTimeout bounds a readiness check, so that a stopped router does not delay
 // the checks of the others.
 const readyTimeout = 300 * time.Millisecond
@@ -25,21 +32,35 @@
 	Seed  string // IP of a router that may exist
 	Store string // address
 	Grace time.Duration
+	// Zone is the router's data centre and Zones holds the region of each data centre.
+	// By default there is one of each.
+	Zone  string
+	Zones map[string]string
+}
+
+// location returns the data centre of the router and the region of each.
+func (r Router) location() (zone string, zones map[string]string) {
+	if r.Zone == "" {
+		return defaultZone, map[string]string{defaultZone: defaultRegion}
+	}
+	return r.Zone, r.Zones
 }
 
 // Settings returns the settings file.
 func (r Router) Settings() string {
+	zone, zones := r.location()
+	regions, _ := json.Marshal(zones) // strings can be encoded
 	return fmt.Sprintf(`node: %q
 ip: %q
-zone: a
-region: r
-zones: {a: r}
+zone: %s
+region: %s
+zones: %s
 listen: {front: %q, ready: %q, control: %q, directory: %q}
 port_range: [7400, 7415]
 seeds: [%q]
 bounds: {grace_s: %g, ttl_max_s: 5, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58, quota_window_s: 4}
 provider: {address: %q}
-`, r.Name, r.IP, r.CallerAddress(), r.IP+":"+readyPort, r.IP+":"+controlPort, r.LookupAddress(),
+`, r.Name, r.IP, zone, zones[zone], regions, r.CallerAddress(), r.IP+":"+readyPort, r.IP+":"+controlPort, r.LookupAddress(),
 		r.Seed+":"+controlPort, r.Grace.Seconds(), r.Store)
 }
 
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -111,4 +111,6 @@
 }
 
 // eligibility returns what decides which upstreams may get the request at all.
-func (c *call) eligibility() eligibility.Request { return eligibility.Request{} }
+func (c *call) eligibility() eligibility.Request {
+	return eligibility.Request{Regions: catalog.PermittedRegions(c.route, c.workspace)}
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -72,6 +72,7 @@
 func (p *pools) assign(now time.Time, c *call) assignment {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.requireRules(c)
 	verdict, refused := p.verdict(now, c)
 	if refused {
 		return assignment{Decision: placement.Decision{Reason: promptBarred}, verdict: verdict}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -76,6 +76,7 @@
 	upstreams    *versioned.Latest[*versioned.Roster]
 	pools        *pools
 	exchange     *exchange
+	regionFaults *regionFaults
 	transport    *peer.QUIC
 	handler      *Handler
 	listeners    []net.Listener
@@ -111,6 +112,7 @@
 	location := placement.Location{DataCentre: s.DataCentre, Region: s.Region}
 	retryLimits := budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 	g.pools = newPools(location, s.Regions, retryLimits, s.Bounds.ShareWindow, now)
+	g.regionFaults = &regionFaults{logger: logger.WithPrefix("regions"), deployed: g.pools.deployed}
 	metrics := newRequestMetrics()
 	if err := g.buildExchange(now, metrics); err != nil {
 		return nil, err
@@ -349,6 +351,7 @@
 	for {
 		configChanged, upstreamsChanged := g.config.Changed(), g.upstreams.Changed()
 		config, upstreams := g.config.Get(), g.upstreams.Get()
+		g.regionFaults.check(config.Value.Table)
 		if config.Version > 0 && upstreams.Value != nil {
 			now := time.Now()
 			g.pools.configure(now, config.Value.Table, g.exchange.use(now, upstreams).Service)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -177,6 +177,10 @@
 		h.refuse(w, c, time.Second, "route has no service")
 		return false
 	}
+	if reason := h.pools.unservable(c); reason != "" {
+		h.refuse(w, c, unservableRetry, string(reason), "regions", c.eligibility().Regions)
+		return false
+	}
 	return true
 }
 
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/fleet"
 	"github.com/lacewingshift/lacewingshift/placement"
@@ -24,6 +25,9 @@
 	seed             uint64 // of the jitter in all pools; differs between routers
 	location         placement.Location
 	regions          map[string]string                // region by data centre
+	deployedRegions  map[string]bool                  // those of regions
+	rules            eligibility.Chain                // of each pool
+	restricted       bool                             // rules has the rule on regions
 	retryLimits      budget.Limits                    // of each service
 	shareWindow      time.Duration                    // sliding window of fair sharing
 	enginePools      map[string]*placement.EnginePool // by service
@@ -48,7 +52,7 @@
 	suspects := quarantine.NewTable()
 	return &pools{
 		quarantine: suspects, detector: quarantine.NewDetector(suspects),
-		seed: uint64(now.UnixNano()), location: location, regions: regions, retryLimits: retryLimits, shareWindow: shareWindow,
+		seed: uint64(now.UnixNano()), location: location, regions: regions, deployedRegions: regionSet(regions), retryLimits: retryLimits, shareWindow: shareWindow,
 		enginePools: map[string]*placement.EnginePool{}, plainPools: map[string]*placement.PlainPool{},
 		retryBudgets: map[string]*budget.Window{}, meter: fairshare.NewMeter(shareWindow, now),
 		shareBuckets: fairshare.NewBuckets(), spareBuckets: fairshare.NewBuckets(),
@@ -60,6 +64,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.capacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
+	if table.RestrictsRegions() {
+		p.requireRegions()
+	}
 	p.dropUpstreams(now, table)
 	for _, service := range table.Services() {
 		list := upstreams(service.Name)
@@ -70,6 +77,7 @@
 		pool := p.enginePools[service.Name]
 		if pool == nil {
 			pool = placement.NewEnginePool(placement.DefaultEnginePolicy(), p.location, p.regions, p.seed)
+			pool.SetRules(p.rules)
 			p.enginePools[service.Name] = pool
 		}
 		pool.SetUpstreams(now, list, *service.Engine, table.Limits.TokensPerSecond)
@@ -95,6 +103,7 @@
 type upstreamPool interface {
 	Loads(now time.Time) []placement.Load
 	Limited() bool
+	SetRules(rules eligibility.Chain)
 	SetRemote(loads map[string]placement.Load, failing map[string]int)
 	Lists(i placement.Instance) bool
 	LeavingInstances() []placement.Instance
@@ -120,6 +129,7 @@
 	pool := p.plainPools[service]
 	if pool == nil {
 		pool = placement.NewPlainPool(placement.DefaultPlainPolicy(), p.location, p.regions, p.seed)
+		pool.SetRules(p.rules)
 		p.plainPools[service] = pool
 	}
 	return pool
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -27,6 +27,9 @@
 	engines      []*site.Runner
 	plainRunners []*site.Runner
 	routers      []*testRouter
+	zones        map[string]string // region of each data centre; nil for one data centre
+	zone         string            // of routers that start
+	log          io.Writer         // of routers that start
 }
 
 type testRouter struct {
@@ -40,7 +43,7 @@
 	number, release, err := site.ClaimNetwork("127.20.%d.254", 1, 254)
 	require.NoError(t, err)
 	t.Cleanup(release)
-	s := &testSite{t: t, net: number}
+	s := &testSite{t: t, net: number, log: io.Discard}
 	store, err := site.NewStore(s.ip(250) + ":8781")
 	require.NoError(t, err)
 	s.store = store
@@ -64,7 +67,9 @@
 
 // runner starts r on the address with the last byte host.
 func (s *testSite) runner(host int, r *site.Runner) *site.Runner {
-	r.Zone = "a"
+	if r.Zone == "" {
+		r.Zone = "a"
+	}
 	started, err := site.StartRunner(s.store, s.ip(host)+":8080", r)
 	require.NoError(s.t, err)
 	s.t.Cleanup(started.Close)
@@ -92,11 +97,11 @@
 	r.IP, r.Seed, r.Grace = s.ip(len(s.routers)+1), s.ip(1), 3*time.Second
 	store, err := s.store.AddressFor(r.IP)
 	require.NoError(s.t, err)
-	r.Store = store
+	r.Store, r.Zone, r.Zones = store, s.zone, s.zones
 	r.Name = "router-" + r.IP
 	settings, err := platform.ParseSettings([]byte(r.Settings()))
 	require.NoError(s.t, err)
-	g, err := gateway.New(settings, gateway.Options{}, log.New(io.Discard))
+	g, err := gateway.New(settings, gateway.Options{}, log.New(s.log))
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -60,10 +60,12 @@
 
 // MaySend reports whether a request that was assigned before may still be sent.
 func (set *upstreamSet) MaySend(now time.Time, t *Ticket) bool {
+	if reason, _ := set.rules.Check(now, set.identity(t.Upstream), t.request); reason != "" {
+		return false
+	}
 	if state := set.byID[t.Upstream.ID]; state != nil {
 		s := state.health.state(now)
-		reason, _ := set.rules.Check(now, state.identity, t.request)
-		return state.upstream.SameInstance(t.Upstream) && s != Leaving && s != LeftAlone && reason == ""
+		return state.upstream.SameInstance(t.Upstream) && s != Leaving && s != LeftAlone
 	}
 	former, known := set.former.byID[t.Upstream.ID]
 	if !known {
--- a/placement/member.go
+++ b/placement/member.go
@@ -107,7 +107,7 @@
 			common.health.leave(now)
 		}
 		common.upstream, common.idHash = u, xxhash.Sum64String(u.ID)
-		common.identity = eligibility.Upstream{ID: u.ID, StartedMs: u.StartedMs, DataCentre: u.DataCentre, Region: set.regions[u.DataCentre]}
+		common.identity = set.identity(u)
 		current[u.ID] = state
 		order = append(order, state)
 		set.byID[u.ID] = common
@@ -116,6 +116,11 @@
 	return current, order
 }
 
+// identity returns what the rules know of an upstream.
+func (set *upstreamSet) identity(u catalog.Upstream) eligibility.Upstream {
+	return eligibility.Upstream{ID: u.ID, StartedMs: u.StartedMs, DataCentre: u.DataCentre, Region: set.regions[u.DataCentre]}
+}
+
 // SetRules sets the rules that decide which upstreams a request may go to.
 func (set *upstreamSet) SetRules(rules eligibility.Chain) { set.rules = rules }
 
