gateway, platform: lookup names no routers outside the permitted regions of a host

A caller with fewer than two routers in its region was named all routers, also for a host whose routes are restricted to other regions.

LookupHandler now reads the parameter name, the host. For a host with restricted routes, if another region has to be named, only routers in the caller's region or in a permitted one are named as long as there is one. Where routes of the host permit different regions, those that all of them permit are preferred if they have two routers. Routes without a restriction do not widen the list; their requests can be served from any router.

The nearest routers now come first.

Open: a router that has no configuration yet knows no restrictions and names routers as before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -153,8 +153,7 @@
 // Match returns the route of host with the longest prefix of path, or nil if there
 // is none. The case and the port of host are ignored.
 func (t *Table) Match(host, path string) *Route {
-	host, _, _ = strings.Cut(strings.ToLower(host), ":")
-	for _, r := range t.byHost[host] {
+	for _, r := range t.byHost[normalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
--- a/catalog/regions.go
+++ b/catalog/regions.go
@@ -50,6 +50,42 @@
 	return false
 }
 
+// HostRegions is what the restricted routes of a host permit together. Routes that permit
+// all regions do not count.
+type HostRegions struct {
+	// Restricted is set if a route of the host names regions.
+	Restricted bool
+	// Common are the regions that each restricted route permits, Any those that one does.
+	Common, Any []string
+}
+
+// HostRegions returns what the restricted routes of a host permit. The case and the port
+// of host are ignored.
+func (t *Table) HostRegions(host string) HostRegions {
+	var regions HostRegions
+	if !t.restricted {
+		return regions
+	}
+	for _, r := range t.byHost[normalHost(host)] {
+		if r.Regions == nil {
+			continue
+		}
+		if !regions.Restricted {
+			regions = HostRegions{Restricted: true, Common: slices.Clone(r.Regions), Any: slices.Clone(r.Regions)}
+			continue
+		}
+		regions.Common = slices.DeleteFunc(regions.Common, func(region string) bool { return !slices.Contains(r.Regions, region) })
+		regions.Any = append(regions.Any, r.Regions...)
+	}
+	return regions
+}
+
+// normalHost returns a host in lower case and without its port.
+func normalHost(host string) string {
+	host, _, _ = strings.Cut(strings.ToLower(host), ":")
+	return host
+}
+
 // RegionFault is a route, a workspace or both that permit no region with a data centre.
 type RegionFault struct {
 	// Route and Workspace are names; one of them may be empty.
--- a/catalog/regions_test.go
+++ b/catalog/regions_test.go
@@ -42,3 +42,21 @@
 	assert.False(t, table.RestrictsRegions())
 	assert.Empty(t, table.RegionFaults(deployed))
 }
+
+// Only the restricted routes of a host count; a host that is named with another case or
+// with a port must not be taken for an unrestricted one.
+func TestHostRegions(t *testing.T) {
+	routes := []*Route{
+		{Host: "h", Prefix: "/any"}, {Host: "h", Prefix: "/a", Regions: []string{"a", "b"}}, {Host: "h", Prefix: "/bc", Regions: []string{"b", "c"}},
+		{Host: "g", Prefix: "/"},
+	}
+	table := NewTable(1, routes, nil, nil, Limits{}, true)
+	for _, host := range []string{"h", "H:8080"} {
+		regions := table.HostRegions(host)
+		assert.True(t, regions.Restricted)
+		assert.Equal(t, []string{"b"}, regions.Common)
+		assert.ElementsMatch(t, []string{"a", "b", "b", "c"}, regions.Any)
+	}
+	assert.False(t, table.HostRegions("g").Restricted)
+	assert.False(t, table.HostRegions("").Restricted)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -175,9 +175,7 @@
 		return err
 	}
 	ready := platform.ReadyHandler(g.ready)
-	lookup := platform.LookupHandler(func(region, dataCentre string) ([]string, time.Duration) {
-		return nearest(g.exchange.ready(), region, dataCentre), min(lookupTTL, g.settings.Bounds.LookupTTL)
-	})
+	lookup := platform.LookupHandler(g.lookup)
 	servers := []struct {
 		address string
 		handler http.Handler
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
+	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/fleet"
+	"github.com/lacewingshift/lacewingshift/platform"
 )
 
 const (
@@ -18,22 +21,70 @@
 	maxAddresses = 64
 )
 
-// nearest returns the addresses of the routers nearest to a caller.
-func nearest(ready []fleet.Record, region, dataCentre string) []string {
-	var inDataCentre, inRegion, all []string
-	for _, r := range ready {
-		all = append(all, r.CallerAddress)
-		if r.Region == region {
-			inRegion = append(inRegion, r.CallerAddress)
+// lookup answers a caller that looks up routers.
+func (g *Gateway) lookup(q platform.LookupQuery) ([]string, time.Duration) {
+	var permitted catalog.HostRegions
+	if table := g.config.Get().Value.Table; table != nil {
+		permitted = table.HostRegions(q.Host)
+	}
+	return nearest(g.exchange.ready(), q, permitted), min(lookupTTL, g.settings.Bounds.LookupTTL)
+}
+
+// nearest returns the addresses of the routers that a caller should use, the nearest ones
+// first. Routers outside its region are left out if there are enough in it. Otherwise,
+// for a host with restricted routes, those outside the permitted regions are left out as
+// long as another one remains.
+func nearest(ready []fleet.Record, q platform.LookupQuery, permitted catalog.HostRegions) []string {
+	inDataCentre := func(r fleet.Record) bool { return r.DataCentre == q.DataCentre }
+	inRegion := func(r fleet.Record) bool { return r.Region == q.Region }
+	for _, isNear := range []func(fleet.Record) bool{inDataCentre, inRegion} {
+		if near := choose(ready, isNear); len(near) >= enoughRouters {
+			return addresses(near, q)
 		}
-		if r.DataCentre == dataCentre {
-			inDataCentre = append(inDataCentre, r.CallerAddress)
+	}
+	if !permitted.Restricted {
+		return addresses(ready, q)
+	}
+	servesAll := choose(ready, func(r fleet.Record) bool { return inRegion(r) || slices.Contains(permitted.Common, r.Region) })
+	if len(servesAll) >= enoughRouters {
+		return addresses(servesAll, q)
+	}
+	servesSome := choose(ready, func(r fleet.Record) bool { return inRegion(r) || slices.Contains(permitted.Any, r.Region) })
+	if len(servesSome) > 0 {
+		return addresses(servesSome, q)
+	}
+	return addresses(ready, q)
+}
+
+// choose returns the routers for which keep is true.
+func choose(routers []fleet.Record, keep func(fleet.Record) bool) []fleet.Record {
+	var chosen []fleet.Record
+	for _, r := range routers {
+		if keep(r) {
+			chosen = append(chosen, r)
 		}
 	}
-	for _, near := range [][]string{inDataCentre, inRegion, all} {
-		if len(near) >= enoughRouters {
-			return near[:min(len(near), maxAddresses)]
+	return chosen
+}
+
+// addresses returns the addresses of at most maxAddresses routers, the nearest to a
+// caller first.
+func addresses(routers []fleet.Record, q platform.LookupQuery) []string {
+	distance := func(r fleet.Record) int {
+		switch {
+		case r.DataCentre == q.DataCentre:
+			return 0
+		case r.Region == q.Region:
+			return 1
+		default:
+			return 2
 		}
 	}
-	return all
+	sorted := slices.Clone(routers)
+	slices.SortStableFunc(sorted, func(a, b fleet.Record) int { return distance(a) - distance(b) })
+	var addresses []string
+	for _, r := range sorted[:min(len(sorted), maxAddresses)] {
+		addresses = append(addresses, r.CallerAddress)
+	}
+	return addresses
 }
--- a/gateway/regions_test.go
+++ b/gateway/regions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -204,6 +205,27 @@
 	assert.Equal(t, near, s.arrivalsIn("h"))
 }
 
+// The host that a lookup names decides whether routers of other regions are named.
+func TestLookupReadsTheHost(t *testing.T) {
+	s := newRegionSite(t, 1, 1)
+	s.store.Put("config", "main", regionConfig(2, []string{"there"}, nil))
+	first := s.start(true)
+	s.zone = "t"
+	second := s.start(true)
+	named := func(host string) string {
+		response, err := http.Get("http://" + first.LookupAddress() + "/v1/lookup?name=" + host + "&region=elsewhere&zone=e")
+		require.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return string(body)
+	}
+	require.Eventually(t, func() bool { return strings.Contains(named("other.example"), second.CallerAddress()) }, 3*time.Second, 20*time.Millisecond)
+	assert.Contains(t, named("other.example"), first.CallerAddress())
+	assert.Contains(t, named(site.Host), second.CallerAddress())
+	assert.NotContains(t, named(site.Host), first.CallerAddress())
+}
+
 // lockedBuffer collects what several goroutines write.
 type lockedBuffer struct {
 	mu   sync.Mutex
