--- a/placement/engine.go
+++ b/placement/engine.go
@@ -134,7 +134,13 @@
 	p.engines, p.order = updateUpstreams(now, &p.upstreamSet, p.engines, upstreams, func() *engine {
 		return &engine{partLastUsed: map[uint64]time.Time{}}
 	})
-	p.near = nearby(&p.upstreamSet, p.order)
+	p.RulesChanged(now)
+}
+
+// RulesChanged chooses the engines that are considered for every request anew, after the
+// results of rules have changed for all routers.
+func (p *EnginePool) RulesChanged(now time.Time) {
+	p.near = nearby(now, &p.upstreamSet, p.order)
 	for _, e := range p.order {
 		e.near = false
 	}
@@ -161,7 +167,7 @@
 		return Decision{Reason: OverShare, RetryAfter: Jitter(MinRetryAfter, p.rng.Float64())}
 	}
 	hashes := prefixHashes(r.Parts)
-	homes := p.homes(hashes, r.Eligibility)
+	homes := p.homes(now, hashes, r.Eligibility)
 	candidates := p.candidates(now, homes)
 	screen := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, candidates)
 	maxWait := p.maxWait(r)
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 )
 
 // Instance identifies one run of an upstream.
@@ -65,6 +66,9 @@
 		reason, _ := set.rules.Check(now, state.identity, t.request)
 		return state.upstream.SameInstance(t.Upstream) && s != Leaving && s != LeftAlone && reason == ""
 	}
+	if reason, _ := set.rules.Check(now, set.identify(t.Upstream), t.request); reason != "" {
+		return false
+	}
 	former, known := set.former.byID[t.Upstream.ID]
 	if !known {
 		return true
@@ -78,6 +82,9 @@
 func (set *upstreamSet) FreeIn(now time.Time) time.Duration {
 	var barred barredUpstreams
 	for _, state := range set.ordered {
+		if !set.uniformlyAllowed(now, state, eligibility.Request{}) {
+			continue
+		}
 		if !state.barred(now) {
 			return 0
 		}
--- a/placement/member.go
+++ b/placement/member.go
@@ -69,6 +69,7 @@
 	location         Location
 	regions          map[string]string // region by data centre
 	rules            eligibility.Chain
+	uniformRules     eligibility.Chain // of rules
 	byID             map[string]*upstreamState
 	ordered          []*upstreamState // in the order given by SetUpstreams
 	withRemote       []*upstreamState // those with a remote load or ejections, some twice
@@ -107,7 +108,7 @@
 			common.health.leave(now)
 		}
 		common.upstream, common.idHash = u, xxhash.Sum64String(u.ID)
-		common.identity = eligibility.Upstream{ID: u.ID, StartedMs: u.StartedMs, DataCentre: u.DataCentre, Region: set.regions[u.DataCentre]}
+		common.identity = set.identify(u)
 		current[u.ID] = state
 		order = append(order, state)
 		set.byID[u.ID] = common
@@ -117,7 +118,24 @@
 }
 
 // SetRules sets the rules that decide which upstreams a request may go to.
-func (set *upstreamSet) SetRules(rules eligibility.Chain) { set.rules = rules }
+func (set *upstreamSet) SetRules(rules eligibility.Chain) {
+	set.rules, set.uniformRules = rules, rules.UniformRules()
+}
+
+// identify returns what rules know of an upstream.
+func (set *upstreamSet) identify(u catalog.Upstream) eligibility.Upstream {
+	return eligibility.Upstream{ID: u.ID, StartedMs: u.StartedMs, DataCentre: u.DataCentre, Region: set.regions[u.DataCentre]}
+}
+
+// uniformlyAllowed reports whether the rules that give the same result at all routers
+// allow an upstream.
+func (set *upstreamSet) uniformlyAllowed(now time.Time, s *upstreamState, request eligibility.Request) bool {
+	if len(set.uniformRules) == 0 {
+		return true
+	}
+	reason, _ := set.uniformRules.Check(now, s.identity, request)
+	return reason == ""
+}
 
 // Loads returns this router's own loads for its report.
 func (set *upstreamSet) Loads(now time.Time) []Load {
@@ -168,7 +186,8 @@
 // nearby returns the upstreams that this router considers for every request: all of
 // a small service, and of a large one some of each distance, those in its own data
 // centre first. Routers choose different ones, so that together they use all.
-func nearby[S interface{ base() *upstreamState }](set *upstreamSet, all []S) []S {
+// Upstreams that rules keep from all routers do not take the place of others.
+func nearby[S interface{ base() *upstreamState }](now time.Time, set *upstreamSet, all []S) []S {
 	set.limited = len(all) > maxCandidates
 	if !set.limited {
 		return all
@@ -177,7 +196,7 @@
 	for _, state := range all {
 		upstream := state.base().upstream
 		switch {
-		case !state.base().health.leavingSince.IsZero():
+		case !state.base().health.leavingSince.IsZero() || !set.uniformlyAllowed(now, state.base(), eligibility.Request{}):
 		case upstream.DataCentre == set.location.DataCentre:
 			near = append(near, state)
 		case set.regions[upstream.DataCentre] == set.location.Region:
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -35,8 +35,9 @@
 // same at all routers. The first one, with rank 0, is the home engine of the prompt.
 // The order is that of rendezvous hashing by the longest prefix that other prompts
 // share, which is everything before the last part.
-// Only engines in regions in which the request may be served count.
-func (p *EnginePool) homes(hashes []uint64, request eligibility.Request) []*engine {
+// Only engines in regions in which the request may be served count, and that rules do
+// not keep from all routers.
+func (p *EnginePool) homes(now time.Time, hashes []uint64, request eligibility.Request) []*engine {
 	if len(hashes) < 2 {
 		return nil
 	}
@@ -44,7 +45,7 @@
 	homes := make([]*engine, 0, maxHomes+1)
 	weights := make([]uint64, 0, maxHomes+1)
 	for _, e := range p.order {
-		if !e.health.leavingSince.IsZero() || !request.Permits(e.identity.Region) {
+		if !e.health.leavingSince.IsZero() || !request.Permits(e.identity.Region) || !p.uniformlyAllowed(now, &e.upstreamState, request) {
 			continue
 		}
 		weight := rendezvous(shared, e.idHash)
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -69,9 +69,13 @@
 // SetUpstreams replaces the upstreams. Instances that remain keep their state.
 func (p *PlainPool) SetUpstreams(now time.Time, upstreams []catalog.Upstream) {
 	p.states, p.order = updateUpstreams(now, &p.upstreamSet, p.states, upstreams, func() *plainUpstream { return &plainUpstream{} })
-	p.near = nearby(&p.upstreamSet, p.order)
+	p.RulesChanged(now)
 }
 
+// RulesChanged chooses the upstreams that are considered for every request anew, after
+// the results of rules have changed for all routers.
+func (p *PlainPool) RulesChanged(now time.Time) { p.near = nearby(now, &p.upstreamSet, p.order) }
+
 // Interest returns the ids of the upstreams whose loads this router needs to know.
 func (p *PlainPool) Interest() []string {
 	var ids []string
