gateway, fleet: routers tell each other of evacuations

A report states the version of the evacuations (key 20, left out without them), a change of it is sent at once like the other versions, and the new fetch item returns the set. Old routers ignore the key, and nobody asks them for the item.

The age of the store's confirmations covers the evacuations where the deployment has them. Reports of routers without evacuations, such as those of the earlier release in a roll-out, then confirm nothing, so that a router that follows evacuations takes over the watch.

A router is not ready and refuses requests until it knows the set. After a pause it asks for the version of the evacuations too, first.

--- a/fleet/report.go
+++ b/fleet/report.go
@@ -49,7 +49,7 @@
 	// for none.
 	ConfigVersion    int64 `cbor:"8,keyasint,omitempty"`
 	UpstreamsVersion int64 `cbor:"9,keyasint,omitempty"`
-	// StoreAgeMs is how long ago the store last confirmed both versions, to this
+	// StoreAgeMs is how long ago the store last confirmed these versions, to this
 	// router or to one whose reports it receives.
 	StoreAgeMs int64 `cbor:"10,keyasint"`
 	// Loads holds one entry per upstream, over all services.
@@ -77,6 +77,9 @@
 	// interruption, to this router or to one whose reports it receives; 0 if it does
 	// not.
 	StoreAnswersMs int64 `cbor:"19,keyasint,omitempty"`
+	// EvacuationsVersion is the version of the evacuations that the router holds, 0 for
+	// none. StoreAgeMs then covers them too.
+	EvacuationsVersion int64 `cbor:"20,keyasint,omitempty"`
 	// SuspectsRevision changes with news in Suspects. It is not sent.
 	SuspectsRevision int `cbor:"-"`
 }
@@ -105,10 +108,11 @@
 	config, upstreams int64
 	leaving           int // number of upstreams
 	suspects          int // revision
+	evacuations       int64
 }
 
 func (r *Report) versions() versions {
-	return versions{state: r.State, config: r.ConfigVersion, upstreams: r.UpstreamsVersion, leaving: len(r.Leaving), suspects: r.SuspectsRevision}
+	return versions{state: r.State, config: r.ConfigVersion, upstreams: r.UpstreamsVersion, leaving: len(r.Leaving), suspects: r.SuspectsRevision, evacuations: r.EvacuationsVersion}
 }
 
 // StoreAge returns StoreAgeMs as a duration.
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -67,6 +67,8 @@
 	interest   announcedInterest
 	leaving    repeatedLeaving
 	suspects   repeatedSuspects
+	// evacuations is set if this router follows evacuations.
+	evacuations bool
 
 	// streams holds the digests received, by the host of the relay.
 	streams map[string]*stream
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -19,6 +19,9 @@
 	return before
 }
 
+// FollowEvacuations records that this router has to learn of evacuations.
+func (t *Table) FollowEvacuations() { t.evacuations = true }
+
 // KnownRank returns how many known routers of this one's region, live or not, come
 // before it by host.
 func (t *Table) KnownRank() int {
@@ -65,11 +68,11 @@
 
 // ConfirmedAge returns how long ago the store last confirmed its versions to any
 // other live router. Changes before that reach this router through that router's
-// reports.
+// reports. A router that follows evacuations counts only those that hold them too.
 func (t *Table) ConfirmedAge(now time.Time) time.Duration {
 	age := ForgetAfter
 	for _, m := range t.members {
-		if t.hasFreshReport(now, m) {
+		if t.hasFreshReport(now, m) && (!t.evacuations || m.report.EvacuationsVersion > 0) {
 			age = min(age, m.report.StoreAge()+now.Sub(m.reportedAt))
 		}
 	}
--- /dev/null
+++ b/gateway/evacuation.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/lacewingshift/lacewingshift/eligibility"
+	"github.com/lacewingshift/lacewingshift/versioned"
+)
+
+// evacuations puts the evacuated data centres into force at this router. It is nil in a
+// deployment without evacuations, where its methods change nothing. It is safe for
+// concurrent use.
+type evacuations struct {
+	latest  *versioned.Latest[versioned.Evacuations]
+	regions map[string]string // by data centre
+	pools   *pools
+	logger  *log.Logger
+	applied atomic.Int64 // version in force; 0 before the first one
+	count   atomic.Int64 // of data centres that are evacuated
+}
+
+// newEvacuations returns the evacuations of a deployment with the given bound on the time
+// until they are in force; nil if it has none.
+func newEvacuations(bound time.Duration, regions map[string]string, p *pools, logger *log.Logger) *evacuations {
+	if bound <= 0 {
+		return nil
+	}
+	return &evacuations{latest: versioned.NewLatest[versioned.Evacuations](), regions: regions, pools: p, logger: logger}
+}
+
+// version returns the newest known version; 0 if there is none.
+func (e *evacuations) version() int64 {
+	if e == nil {
+		return 0
+	}
+	return e.latest.Get().Version
+}
+
+// age returns how long ago the store last confirmed the version, at most limit.
+func (e *evacuations) age(now time.Time, limit time.Duration) time.Duration {
+	if e == nil {
+		return 0
+	}
+	return e.latest.Age(now, limit)
+}
+
+// missing reports whether this router has to learn the set before it may serve.
+func (e *evacuations) missing() bool { return e != nil && e.applied.Load() == 0 }
+
+// addGauge adds the metric of evacuated data centres, if the deployment has evacuations.
+func (e *evacuations) addGauge(m *requestMetrics) {
+	if e != nil {
+		m.gauge("lacewing_data_centres_evacuated", func() float64 { return float64(e.count.Load()) })
+	}
+}
+
+// followEvacuations follows the evacuations of the deployment, if it has any, until ctx
+// ends.
+func (g *Gateway) followEvacuations(ctx context.Context, group *errgroup.Group) {
+	if g.evacuations == nil {
+		return
+	}
+	g.exchange.followEvacuations()
+	group.Go(func() error { return g.feed.RunEvacuations(ctx, g.evacuations.latest) })
+	group.Go(func() error {
+		return g.evacuations.run(ctx, func() {
+			g.announceReady()
+			g.exchange.triggerReport()
+		})
+	})
+}
+
+// run puts each new version into force until ctx ends, and calls changed afterwards.
+func (e *evacuations) run(ctx context.Context, changed func()) error {
+	inForce := versioned.NewEvacuations()
+	for {
+		next := e.latest.Changed()
+		if current := e.latest.Get(); current.Version > e.applied.Load() {
+			inForce = e.apply(time.Now(), current, inForce)
+			changed()
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-next:
+		}
+	}
+}
+
+// apply puts a version into force in place of the set before, and returns the new set.
+// Names that belong to no data centre of the deployment have no effect.
+func (e *evacuations) apply(now time.Time, current versioned.Snapshot[versioned.Evacuations], before versioned.Evacuations) versioned.Evacuations {
+	set, unknown := current.Value.Known(func(name string) bool { _, exists := e.regions[name]; return exists })
+	e.pools.setEvacuated(now, set.Names())
+	e.count.Store(int64(len(set.Names())))
+	e.applied.Store(current.Version)
+	for _, name := range set.Without(before) {
+		e.logger.Warn("evacuation of a data centre takes effect", "data_centre", name, "region", e.regions[name], "version", current.Version, "source", current.Source)
+	}
+	for _, name := range before.Without(set) {
+		e.logger.Info("evacuation of a data centre ends", "data_centre", name, "region", e.regions[name], "version", current.Version, "source", current.Source)
+	}
+	for _, name := range unknown {
+		e.logger.Warn("ignoring an evacuation of an unknown data centre", "data_centre", name, "version", current.Version)
+	}
+	return set
+}
+
+// setEvacuated replaces the evacuated data centres. It takes effect at once, also for
+// requests that have been assigned but not sent.
+func (p *pools) setEvacuated(now time.Time, dataCentres []string) {
+	p.evacuated.Set(dataCentres)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, pool := range p.all() {
+		pool.RulesChanged(now)
+	}
+}
+
+// rules returns the rules that decide which upstreams may get a request at all.
+func (p *pools) rules() eligibility.Chain {
+	return eligibility.Chain{eligibility.Regions{}, &p.evacuated}
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -46,6 +46,7 @@
 	dataCentre, region string
 	config             *versioned.Latest[platform.Config]
 	upstreams          *versioned.Latest[*versioned.Roster]
+	evacuations        *evacuations // nil without them
 	pools              *pools
 	logger             *log.Logger
 	reportNow          chan struct{} // see triggerReport
@@ -108,7 +109,7 @@
 		x.logger.Warn("process was paused, versions are confirmed before further requests")
 		go x.confirmVersions()
 	}
-	report := &fleet.Report{ConfigVersion: x.config.Get().Version, UpstreamsVersion: x.upstreams.Get().Version}
+	report := &fleet.Report{ConfigVersion: x.config.Get().Version, UpstreamsVersion: x.upstreams.Get().Version, EvacuationsVersion: x.evacuations.version()}
 	x.pools.fillReport(now, report)
 	x.mu.Lock()
 	x.table.Step(now)
@@ -194,10 +195,10 @@
 	return addresses
 }
 
-// storeAge returns the time since the store last confirmed the configuration or the
-// upstreams, whichever is longer.
+// storeAge returns the time since the store last confirmed the configuration, the
+// upstreams or the evacuations, whichever is longest.
 func (x *exchange) storeAge(now time.Time) time.Duration {
-	return max(x.config.Age(now, maxAge), x.upstreams.Age(now, maxAge))
+	return max(x.config.Age(now, maxAge), x.upstreams.Age(now, maxAge), x.evacuations.age(now, maxAge))
 }
 
 // confirmedAge returns the time since the store last confirmed its versions to any
@@ -323,14 +324,14 @@
 	return x.retention.WatchTimeout(time.Now(), longest)
 }
 
-// Watches implements platform.Watcher. A router without a configuration or upstreams
-// lists them itself only if no other one does so before its turn: the lists of a large
+// Watches implements platform.Watcher. A router without a configuration, upstreams or
+// evacuations lists them itself only if no other one does so before its turn: the lists of a large
 // fleet that starts at once take the store many seconds.
 func (x *exchange) Watches() bool {
 	now := time.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.config.Get().Version == 0 || x.upstreams.Get().Value == nil {
+	if x.config.Get().Version == 0 || x.upstreams.Get().Value == nil || x.evacuations != nil && x.evacuations.version() == 0 {
 		return x.table.Uptime(now) >= listDelay+time.Duration(x.table.KnownRank())*takeoverStep
 	}
 	rank := x.table.WatchRank(now)
--- a/gateway/fetch.go
+++ b/gateway/fetch.go
@@ -20,6 +20,9 @@
 const (
 	itemConfig    item = "config"
 	itemUpstreams item = "upstreams"
+	// itemEvacuations asks for the evacuated data centres. Only routers whose reports
+	// state their version know it.
+	itemEvacuations item = "evacuations"
 	// itemVersions asks for the versions that the other router holds. The response
 	// was made after the request, which a report that arrives need not be.
 	itemVersions item = "versions"
@@ -31,6 +34,8 @@
 	kindChanges   fleet.Kind = "fetch_upstream_changes"
 	kindUpstreams fleet.Kind = "fetch_upstreams"
 	kindVersions  fleet.Kind = "fetch_versions"
+
+	kindEvacuations fleet.Kind = "fetch_evacuations"
 )
 
 // fetchRequest is the wire form of a request for the newest version of an item.
@@ -53,6 +58,8 @@
 type versionsResponse struct {
 	Config    int64 `cbor:"1,keyasint"`
 	Upstreams int64 `cbor:"2,keyasint"`
+	// Evacuations is missing in a deployment without them.
+	Evacuations int64 `cbor:"3,keyasint,omitempty"`
 }
 
 // confirmTimeout bounds one question to another router after a pause.
@@ -64,6 +71,7 @@
 // this region is likely to have the version soon.
 func (x *exchange) fetchNewer(now time.Time, r *fleet.Report, periodic bool) {
 	watching := x.storeAge(now) < freshWatch
+	x.fetchNewerEvacuations(r, periodic || !watching)
 	if !periodic && (watching || r.Region != x.region) {
 		return
 	}
@@ -94,8 +102,11 @@
 }
 
 func (x *exchange) fetchFrom(host string, what item) error {
-	if what == itemUpstreams {
+	switch what {
+	case itemUpstreams:
 		return x.fetchUpstreams(host)
+	case itemEvacuations:
+		return x.fetchEvacuations(host)
 	}
 	body, err := x.callFetch(host, fetchRequest{Item: what}, fetchTimeout)
 	if err != nil {
@@ -188,8 +199,11 @@
 		return response, kindConfig, err
 	case itemUpstreams:
 		return x.upstreamsResponse(request.Since)
+	case itemEvacuations:
+		response, err := x.evacuationsResponse()
+		return response, kindEvacuations, err
 	case itemVersions:
-		response, err := cbor.Marshal(versionsResponse{Config: x.config.Get().Version, Upstreams: x.upstreams.Get().Version})
+		response, err := cbor.Marshal(versionsResponse{Config: x.config.Get().Version, Upstreams: x.upstreams.Get().Version, Evacuations: x.evacuations.version()})
 		return response, kindVersions, err
 	default:
 		return nil, "", eris.Errorf("item %q is not known", request.Item)
@@ -260,6 +274,11 @@
 	if err := cbor.Unmarshal(body, &held); err != nil {
 		return eris.Wrap(fleet.ErrMessage, err.Error())
 	}
+	if x.evacuations != nil && held.Evacuations > x.evacuations.version() {
+		if err := x.fetchFrom(host, itemEvacuations); err != nil {
+			return err
+		}
+	}
 	if held.Config > x.config.Get().Version {
 		if err := x.fetchFrom(host, itemConfig); err != nil {
 			return err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -74,6 +74,7 @@
 	feed         *platform.Feed
 	config       *versioned.Latest[platform.Config]
 	upstreams    *versioned.Latest[*versioned.Roster]
+	evacuations  *evacuations // nil without them
 	pools        *pools
 	exchange     *exchange
 	transport    *peer.QUIC
@@ -112,6 +113,7 @@
 	retryLimits := budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 	g.pools = newPools(location, s.Regions, retryLimits, s.Bounds.ShareWindow, now)
 	metrics := newRequestMetrics()
+	g.evacuations = newEvacuations(s.Bounds.Evacuate, s.Regions, g.pools, logger.WithPrefix("evacuation"))
 	if err := g.buildExchange(now, metrics); err != nil {
 		return nil, err
 	}
@@ -123,9 +125,10 @@
 		exit: exit, memory: newMemoryBudget(s.MemoryLimit),
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: metrics,
 		stopState: g.state, requestArrived: g.requestArrived,
-		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, mayAct: g.exchange.mayAct, triggerReport: g.exchange.triggerReport, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
+		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, mayAct: g.exchange.mayAct, evacuations: g.evacuations, triggerReport: g.exchange.triggerReport, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
 	}
 	g.addGauges()
+	g.evacuations.addGauge(metrics)
 	return g, g.listen(options)
 }
 
@@ -157,7 +160,7 @@
 	}
 	g.transport = peer.NewQUIC(s.PeerAddress, identity, event.NewClock(nil), socket)
 	g.exchange = &exchange{
-		transport: g.transport, config: g.config, upstreams: g.upstreams, pools: g.pools,
+		transport: g.transport, config: g.config, upstreams: g.upstreams, evacuations: g.evacuations, pools: g.pools,
 		dataCentre: s.DataCentre, region: s.Region, logger: g.logger.WithPrefix("fleet"), reportNow: make(chan struct{}, 1), missingDropped: make(chan struct{}, 1), sentBytes: metrics.sentToRouter,
 		table: fleet.NewTable(self, s.SeedAddresses, now), live: map[string]fleet.State{}, fetching: map[item]bool{},
 	}
@@ -264,6 +267,7 @@
 	group.Go(func() error { return g.exchange.run(runCtx) })
 	group.Go(func() error { return g.feed.RunConfig(runCtx) })
 	group.Go(func() error { return g.feed.RunUpstreams(runCtx) })
+	g.followEvacuations(runCtx, group)
 	group.Go(func() error { return g.applyUpdates(runCtx) })
 	group.Go(func() error { g.register(runCtx); return nil })
 	group.Go(func() error { return g.exchange.keepBarredParts(runCtx) })
@@ -353,9 +357,7 @@
 			now := time.Now()
 			g.pools.configure(now, config.Value.Table, g.exchange.use(now, upstreams).Service)
 			g.configured.Store(true)
-			if g.state() == shutdown.Serving {
-				g.exchange.setState(fleet.Ready)
-			}
+			g.announceReady()
 		}
 		g.exchange.triggerReport()
 		select {
@@ -368,11 +370,6 @@
 	}
 }
 
-// ready reports whether callers should be sent to this router.
-func (g *Gateway) ready() bool {
-	return g.configured.Load() && g.state() == shutdown.Serving
-}
-
 func (g *Gateway) state() shutdown.State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -58,7 +58,8 @@
 	routers func() int
 	// mayAct reports whether the configuration and the upstreams may be used; after a
 	// pause of the process they have to be confirmed first.
-	mayAct func() bool
+	mayAct      func() bool
+	evacuations *evacuations // nil without them
 	// triggerReport tells the other routers what this one has learnt.
 	triggerReport func()
 	// manyConnections reports whether callers hold so many connections that they
@@ -141,6 +142,10 @@
 		h.refuse(w, c, notReadyRetry, "no configuration known")
 		return false
 	}
+	if h.evacuations.missing() {
+		h.refuse(w, c, notReadyRetry, "evacuations are not known yet")
+		return false
+	}
 	if !h.mayAct() {
 		h.refuse(w, c, notReadyRetry, reasonPaused)
 		return false
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -6,6 +6,7 @@
 
 	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 	"github.com/lacewingshift/lacewingshift/fairshare"
 	"github.com/lacewingshift/lacewingshift/fleet"
 	"github.com/lacewingshift/lacewingshift/placement"
@@ -29,6 +30,7 @@
 	enginePools      map[string]*placement.EnginePool // by service
 	plainPools       map[string]*placement.PlainPool  // by service
 	retryBudgets     map[string]*budget.Window        // by service
+	evacuated        eligibility.Evacuated            // in rules
 	quarantine       *quarantine.Table
 	detector         *quarantine.Detector
 	meter            *fairshare.Meter
@@ -70,6 +72,7 @@
 		pool := p.enginePools[service.Name]
 		if pool == nil {
 			pool = placement.NewEnginePool(placement.DefaultEnginePolicy(), p.location, p.regions, p.seed)
+			pool.SetRules(p.rules())
 			p.enginePools[service.Name] = pool
 		}
 		pool.SetUpstreams(now, list, *service.Engine, table.Limits.TokensPerSecond)
@@ -102,6 +105,7 @@
 	LeaveAlone(now time.Time, t *placement.Ticket, wait time.Duration) time.Duration
 	MaySend(now time.Time, t *placement.Ticket) bool
 	FreeIn(now time.Time) time.Duration
+	RulesChanged(now time.Time)
 }
 
 // all returns the pools of all services. The caller must hold mu.
@@ -120,6 +124,7 @@
 	pool := p.plainPools[service]
 	if pool == nil {
 		pool = placement.NewPlainPool(placement.DefaultPlainPolicy(), p.location, p.regions, p.seed)
+		pool.SetRules(p.rules())
 		p.plainPools[service] = pool
 	}
 	return pool
