gateway: evacuated engines are no capacity for shares

Shares were computed from the nominal capacity of all engines, and shrank only after an evacuation had led to refusals. The capacity is now the nominal one times the part of the engines outside evacuated data centres, from the moment at which the evacuation is in force. The number of engines of an evacuated data centre is kept while it is evacuated, since its engines may end then.

If nothing is left, the capacity is 0 and no share applies, so that requests are refused for the evacuation.

Tests: go test ./gateway -run 'Evacu|Share'.

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -112,7 +112,8 @@
 }
 
 // setEvacuated replaces the evacuated data centres. It takes effect at once, also for
-// requests that have been assigned but not sent.
+// requests that have been assigned but not sent. The shares shrink with the capacity,
+// before the other upstreams are overloaded.
 func (p *pools) setEvacuated(now time.Time, dataCentres []string) {
 	p.evacuated.Set(dataCentres)
 	p.mu.Lock()
@@ -120,6 +121,9 @@
 	for _, pool := range p.all() {
 		pool.RulesChanged(now)
 	}
+	p.engineCapacity.evacuate(dataCentres)
+	p.setCapacity()
+	p.computeShares(now)
 }
 
 // rules returns the rules that decide which upstreams may get a request at all.
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -41,7 +41,9 @@
 	reportingRouters int                         // other routers that the sums cover
 	knownRouters     int                         // other routers that exist
 	shares           fairshare.Shares
-	capacity         float64       // tokens per window
+	nominalCapacity  float64 // tokens per window of all engines
+	engineCapacity   engineCapacity
+	capacity         float64       // tokens per window that may be granted
 	remoteAt         time.Time     // when the sums were set
 	remoteAge        time.Duration // mean age of the reports in the sums at remoteAt
 }
@@ -61,7 +63,9 @@
 func (p *pools) configure(now time.Time, table *catalog.Table, upstreams func(service string) []catalog.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.capacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
+	p.nominalCapacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
+	p.engineCapacity.list(countEngines(table, upstreams))
+	p.setCapacity()
 	p.dropUpstreams(now, table)
 	for _, service := range table.Services() {
 		list := upstreams(service.Name)
