--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -26,13 +26,13 @@
 	location         placement.Location
 	regions          map[string]string                // region by data centre
 	deployedRegions  map[string]bool                  // those of regions
-	rules            eligibility.Chain                // of each pool
-	restricted       bool                             // rules has the rule on regions
+	restricted       bool                             // the rules have the one on regions
 	retryLimits      budget.Limits                    // of each service
 	shareWindow      time.Duration                    // sliding window of fair sharing
 	enginePools      map[string]*placement.EnginePool // by service
 	plainPools       map[string]*placement.PlainPool  // by service
 	retryBudgets     map[string]*budget.Window        // by service
+	evacuated        eligibility.Evacuated            // in rules
 	quarantine       *quarantine.Table
 	detector         *quarantine.Detector
 	meter            *fairshare.Meter
@@ -43,7 +43,9 @@
 	reportingRouters int                         // other routers that the sums cover
 	knownRouters     int                         // other routers that exist
 	shares           fairshare.Shares
-	capacity         float64       // tokens per window
+	nominalCapacity  float64 // tokens per window of all engines
+	engineCapacity   engineCapacity
+	capacity         float64       // tokens per window that may be granted
 	remoteAt         time.Time     // when the sums were set
 	remoteAge        time.Duration // mean age of the reports in the sums at remoteAt
 }
@@ -63,10 +65,12 @@
 func (p *pools) configure(now time.Time, table *catalog.Table, upstreams func(service string) []catalog.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.capacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
 	if table.RestrictsRegions() {
 		p.requireRegions()
 	}
+	p.nominalCapacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
+	p.engineCapacity.list(countEngines(table, upstreams))
+	p.setCapacity()
 	p.dropUpstreams(now, table)
 	for _, service := range table.Services() {
 		list := upstreams(service.Name)
@@ -77,7 +81,7 @@
 		pool := p.enginePools[service.Name]
 		if pool == nil {
 			pool = placement.NewEnginePool(placement.DefaultEnginePolicy(), p.location, p.regions, p.seed)
-			pool.SetRules(p.rules)
+			pool.SetRules(p.rules(service.Name))
 			p.enginePools[service.Name] = pool
 		}
 		pool.SetUpstreams(now, list, *service.Engine, table.Limits.TokensPerSecond)
@@ -111,6 +115,7 @@
 	LeaveAlone(now time.Time, t *placement.Ticket, wait time.Duration) time.Duration
 	MaySend(now time.Time, t *placement.Ticket) bool
 	FreeIn(now time.Time) time.Duration
+	RulesChanged(now time.Time)
 }
 
 // all returns the pools of all services. The caller must hold mu.
@@ -129,7 +134,7 @@
 	pool := p.plainPools[service]
 	if pool == nil {
 		pool = placement.NewPlainPool(placement.DefaultPlainPolicy(), p.location, p.regions, p.seed)
-		pool.SetRules(p.rules)
+		pool.SetRules(p.rules(service))
 		p.plainPools[service] = pool
 	}
 	return pool
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -26,10 +26,7 @@
 		return
 	}
 	p.restricted = true
-	p.rules = append(eligibility.Chain{eligibility.Regions{}}, p.rules...)
-	for _, pool := range p.all() {
-		pool.SetRules(p.rules)
-	}
+	p.applyRules()
 }
 
 // requireRules adds the rules that a request needs, in case its configuration has not
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 )
 
 // Instance identifies one run of an upstream.
@@ -60,7 +61,7 @@
 
 // MaySend reports whether a request that was assigned before may still be sent.
 func (set *upstreamSet) MaySend(now time.Time, t *Ticket) bool {
-	if reason, _ := set.rules.Check(now, set.identity(t.Upstream), t.request); reason != "" {
+	if reason, _ := set.rules.Check(now, set.identify(t.Upstream), t.request); reason != "" {
 		return false
 	}
 	if state := set.byID[t.Upstream.ID]; state != nil {
@@ -80,6 +81,9 @@
 func (set *upstreamSet) FreeIn(now time.Time) time.Duration {
 	var barred barredUpstreams
 	for _, state := range set.ordered {
+		if !set.uniformlyAllowed(now, state, eligibility.Request{}) {
+			continue
+		}
 		if !state.barred(now) {
 			return 0
 		}
