catalog, platform, versioned: cold limits of services and cold times of upstreams

Cause: an upstream that has just started handles a fraction of its usual rate for some seconds and says so in its entry; routers did not read it. Warm upstreams are encoded and hashed as before, so nothing changes for deployments without cold upstreams. Ruled out: absolute end times in the roster, as the clocks of routers differ; storing the time of every heartbeat, which would be a new version of the roster with each one. Tests: go test ./catalog ./versioned ./platform ./config pass.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -95,6 +95,8 @@
 	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
+	// Cold is nil for a service whose upstreams need no time to warm up.
+	Cold *ColdLimits
 }
 
 // Workspace is a customer with a share of the capacity.
@@ -190,6 +192,7 @@
 	// ID it identifies the instance: an instance that restarts under the same id
 	// has lost its caches and its requests.
 	StartedMs int64 `cbor:"7,keyasint,omitempty"`
+	ColdReport
 }
 
 // SameInstance reports whether u and other are the same run of the same upstream.
--- a/versioned/roster.go
+++ b/versioned/roster.go
@@ -123,7 +123,13 @@
 	for _, number := range []int64{int64(u.Slots), u.StartedMs} {
 		buffer = binary.LittleEndian.AppendUint64(buffer, uint64(number))
 	}
-	return xxhash.Sum64(strconv.AppendBool(buffer, u.Draining))
+	buffer = strconv.AppendBool(buffer, u.Draining)
+	if u.ColdReport != (catalog.ColdReport{}) { // warm ones hash as at routers of earlier releases
+		for _, number := range []int64{u.ColdLeftMs, u.ColdRevision, u.WarmRevision} {
+			buffer = binary.LittleEndian.AppendUint64(buffer, uint64(number))
+		}
+	}
+	return xxhash.Sum64(buffer)
 }
 
 // Registry tracks the store's upstream entries. It does no I/O and is not safe for
@@ -163,5 +169,8 @@
 	return true
 }
 
+// Get returns the entry of an upstream, the zero value if there is none.
+func (r *Registry) Get(id string) catalog.Upstream { return r.entries[id] }
+
 // Roster returns the current upstreams.
 func (r *Registry) Roster() *Roster { return NewRoster(slices.Collect(maps.Values(r.entries))) }
