gateway, eligibility, platform: cold upstreams get requests from the holder of a permit

Cause: nothing kept routers from sending a cold upstream their usual load. Change: rule eligibility.Cold, installed only for services with cold limits, runs before health and panic mode and again before a request is sent. gateway takes a token with each assignment and gives it back if nothing was sent; a request that was assigned while the upstream was warm needs one before it is sent. A refusal with only cold upstreams left says "upstreams are cold" with the time until the first of them may get a request. permitKeeper makes the calls of package coldlimit through platform.Feed.CallPermit; it sleeps while no upstream is cold, and removes permits at exit within 100 ms. Ruled out: the token inside placement, which would have to know about permits. Tests: go test ./coldlimit ./placement ./platform pass. go test ./gateway (203 s at a load above 20): TestUpstreamThatExpiredInAnOutageStaysInUseForAWhile failed once, passed four times of four alone; the others pass.

--- a/eligibility/eligibility.go
+++ b/eligibility/eligibility.go
@@ -20,6 +20,9 @@
 type Request struct {
 	// Regions are those in which the request may be served; nil permits all.
 	Regions []string
+	// Assigned is set if the request was assigned to the upstream before and is about to
+	// be sent.
+	Assigned bool
 }
 
 // Permits reports whether the request may be served in a region.
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
+	"github.com/lacewingshift/lacewingshift/coldlimit"
+	"github.com/lacewingshift/lacewingshift/eligibility"
 	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/quarantine"
 )
@@ -22,6 +24,8 @@
 	plainPool  *placement.PlainPool
 	// verdict is the evidence that the prompt crashes upstreams; empty if there is none.
 	verdict quarantine.Verdict
+	// cold is the token for a cold upstream; nil if the upstream is warm.
+	cold *coldlimit.Token
 	// retry is set if an earlier attempt may have run.
 	retry bool
 }
@@ -82,6 +86,7 @@
 	} else {
 		a = p.assignEngine(now, c)
 	}
+	p.limitCold(now, c.service, &a)
 	a.verdict, a.retry = verdict, c.mayHaveRun
 	if verdict.Trial && !a.Refused() {
 		p.quarantine.BeginTrial(now, c.service.Name, verdict)
@@ -116,7 +121,7 @@
 	request := c.engineRequest(a.share)
 	a.Decision = a.enginePool.Place(now, request)
 	if a.Refused() {
-		if a.Reason == placement.Overloaded || a.Reason == placement.AllLeftAlone {
+		if a.Reason == placement.Overloaded || a.Reason == placement.AllLeftAlone || a.Reason == placement.Reason(eligibility.ColdLimited) {
 			p.meter.AddRefused(now, workspace, a.cost)
 		}
 		return a
@@ -155,7 +160,7 @@
 	if v.Barred && !a.verdict.Trial || v.NoRetry && a.retry {
 		return false
 	}
-	return a.upstreams().MaySend(now, a.ticket)
+	return a.upstreams().MaySend(now, a.ticket) && p.mayCold(now, c.service, a)
 }
 
 // freeIn returns the time until an upstream of a service may get a request.
@@ -209,6 +214,7 @@
 func (p *pools) ended(now time.Time, c *call, a *assignment, outcome placement.Outcome, ran bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.endCold(now, a, outcome, ran)
 	if a.plainPool != nil {
 		return a.plainPool.Ended(now, a.ticket, outcome)
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -96,6 +96,7 @@
 	x.guardMu.Unlock()
 	if paused {
 		x.logger.Warn("process was paused, versions are confirmed before further requests")
+		x.pools.interruptCold(now)
 		go x.confirmVersions()
 	}
 	report := &fleet.Report{ConfigVersion: x.config.Get().Version, UpstreamsVersion: x.upstreams.Get().Version}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,7 @@
 	location := placement.Location{DataCentre: s.DataCentre, Region: s.Region}
 	retryLimits := budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow}
 	g.pools = newPools(location, s.Regions, retryLimits, s.Bounds.ShareWindow, now)
+	g.pools.cold = newColdUpstreams(s)
 	metrics := newRequestMetrics()
 	if err := g.buildExchange(now, metrics); err != nil {
 		return nil, err
@@ -138,6 +139,7 @@
 	m.gauge("lacewing_store_age_seconds", func() float64 { return g.exchange.storeAge(time.Now()).Seconds() })
 	m.gauge("lacewing_parts_suspected", func() float64 { suspected, _ := g.pools.quarantineCounts(); return float64(suspected) })
 	m.gauge("lacewing_parts_barred", func() float64 { _, barred := g.pools.quarantineCounts(); return float64(barred) })
+	g.pools.addColdGauges(m)
 	m.gauge("lacewing_routers_ready", func() float64 { return float64(len(g.exchange.ready())) })
 }
 
@@ -267,6 +269,7 @@
 	group.Go(func() error { return g.applyUpdates(runCtx) })
 	group.Go(func() error { g.register(runCtx); return nil })
 	group.Go(func() error { return g.exchange.keepBarredParts(runCtx) })
+	group.Go(func() error { return g.permitKeeper().run(runCtx) })
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -42,6 +42,7 @@
 	capacity         float64       // tokens per window
 	remoteAt         time.Time     // when the sums were set
 	remoteAge        time.Duration // mean age of the reports in the sums at remoteAt
+	cold             coldUpstreams
 }
 
 func newPools(location placement.Location, regions map[string]string, retryLimits budget.Limits, shareWindow time.Duration, now time.Time) *pools {
@@ -63,7 +64,9 @@
 	p.dropUpstreams(now, table)
 	for _, service := range table.Services() {
 		list := upstreams(service.Name)
+		p.configureCold(now, service, list)
 		if service.Engine == nil {
+			p.plainPool(service.Name).SetRules(p.rules(service))
 			p.plainPool(service.Name).SetUpstreams(now, list)
 			continue
 		}
@@ -72,8 +75,10 @@
 			pool = placement.NewEnginePool(placement.DefaultEnginePolicy(), p.location, p.regions, p.seed)
 			p.enginePools[service.Name] = pool
 		}
+		pool.SetRules(p.rules(service))
 		pool.SetUpstreams(now, list, *service.Engine, table.Limits.TokensPerSecond)
 	}
+	p.finishCold(now, table)
 }
 
 // dropUpstreams empties the pools of services that are no longer configured. The pools
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -62,7 +62,9 @@
 func (set *upstreamSet) MaySend(now time.Time, t *Ticket) bool {
 	if state := set.byID[t.Upstream.ID]; state != nil {
 		s := state.health.state(now)
-		reason, _ := set.rules.Check(now, state.identity, t.request)
+		request := t.request
+		request.Assigned = true
+		reason, _ := set.rules.Check(now, state.identity, request)
 		return state.upstream.SameInstance(t.Upstream) && s != Leaving && s != LeftAlone && reason == ""
 	}
 	former, known := set.former.byID[t.Upstream.ID]
