--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -48,6 +48,7 @@
 	capacity         float64       // tokens per window that may be granted
 	remoteAt         time.Time     // when the sums were set
 	remoteAge        time.Duration // mean age of the reports in the sums at remoteAt
+	cold             coldUpstreams
 }
 
 func newPools(location placement.Location, regions map[string]string, retryLimits budget.Limits, shareWindow time.Duration, now time.Time) *pools {
@@ -74,18 +75,22 @@
 	p.dropUpstreams(now, table)
 	for _, service := range table.Services() {
 		list := upstreams(service.Name)
+		p.configureCold(now, service, list)
 		if service.Engine == nil {
-			p.plainPool(service.Name).SetUpstreams(now, list)
+			pool := p.plainPool(service.Name)
+			pool.SetRules(p.rules(service.Name))
+			pool.SetUpstreams(now, list)
 			continue
 		}
 		pool := p.enginePools[service.Name]
 		if pool == nil {
 			pool = placement.NewEnginePool(placement.DefaultEnginePolicy(), p.location, p.regions, p.seed)
-			pool.SetRules(p.rules(service.Name))
 			p.enginePools[service.Name] = pool
 		}
+		pool.SetRules(p.rules(service.Name))
 		pool.SetUpstreams(now, list, *service.Engine, table.Limits.TokensPerSecond)
 	}
+	p.finishCold(now, table)
 }
 
 // dropUpstreams empties the pools of services that are no longer configured. The pools
--- a/gateway/rules.go
+++ b/gateway/rules.go
@@ -9,7 +9,11 @@
 	if p.restricted {
 		chain = append(chain, eligibility.Regions{})
 	}
-	return append(chain, &p.evacuated)
+	chain = append(chain, &p.evacuated)
+	if p.cold.limits(service) {
+		chain = append(chain, eligibility.Cold{Upstreams: p.cold.table})
+	}
+	return chain
 }
 
 // applyRules sets the rules of all pools.
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -61,7 +61,9 @@
 
 // MaySend reports whether a request that was assigned before may still be sent.
 func (set *upstreamSet) MaySend(now time.Time, t *Ticket) bool {
-	if reason, _ := set.rules.Check(now, set.identify(t.Upstream), t.request); reason != "" {
+	request := t.request
+	request.Assigned = true
+	if reason, _ := set.rules.Check(now, set.identify(t.Upstream), request); reason != "" {
 		return false
 	}
 	if state := set.byID[t.Upstream.ID]; state != nil {
