fake/site: the store can come back from a copy

Tests of restored stores need a store whose revision and objects go back and whose answers say so. Store gets eras (header Store-Era once UseEras was called), TakeCopy and Restore. A watch from a revision that the store does not have ends with 410, also one that waits while the store is restored. Runners can write their entries again with Renew, since a repeated write of the same spec changes nothing.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -109,6 +109,7 @@
 	headers    map[string]http.Header
 	state      string
 	born       int64 // start of the incarnation in Unix milliseconds
+	seq        int64 // number of renewals of the entry
 	arrivals   []Arrival
 	running    int
 	cached     map[string]bool // prompt prefixes whose parts are cached
@@ -162,7 +163,7 @@
 	defer r.mu.Unlock()
 	r.store.Put("servers", r.ID, map[string]any{
 		"service": r.Service, "address": r.registeredAddress(), "zone": r.Zone, "slots": r.Slots, "state": r.state,
-		"version": "v1", "cold_left_ms": 0, "seq": 1, "born": r.born,
+		"version": "v1", "cold_left_ms": 0, "seq": 1 + r.seq, "born": r.born,
 	})
 }
 
--- a/fake/site/store.go
+++ b/fake/site/store.go
@@ -46,6 +46,8 @@
 	hostFaults map[string]Fault
 	calls      int
 	delay      time.Duration // of every response
+	usesEras   bool
+	era        int64
 }
 
 type metadata struct {
@@ -223,6 +225,7 @@
 	s.calls++
 	delay := s.delay
 	fault := s.faultOf(host)
+	s.setEra(w)
 	s.mu.Unlock()
 	time.Sleep(delay)
 	if s.applyFault(w, r, fault) {
@@ -232,7 +235,7 @@
 		s.watch(w, r, kind, host)
 		return
 	}
-	status, body := s.call(r, kind, name)
+	status, body := s.call(w, r, kind, name)
 	if fault == ResponseLost {
 		panic(http.ErrAbortHandler)
 	}
@@ -274,9 +277,10 @@
 }
 
 // call handles every call except watches.
-func (s *Store) call(r *http.Request, kind, name string) (int, any) {
+func (s *Store) call(w http.ResponseWriter, r *http.Request, kind, name string) (int, any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setEra(w)
 	switch r.Method {
 	case http.MethodGet:
 		return s.read(r, kind, name)
@@ -363,7 +367,8 @@
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		gone := after < s.oldest
+		gone := s.lacks(after)
+		s.setEra(w)
 		events := s.eventsAfter(kind, after)
 		revision, changed, fault := s.revision, s.changed, s.faultOf(host)
 		s.mu.Unlock()
@@ -388,13 +393,3 @@
 		}
 	}
 }
-
-func (s *Store) eventsAfter(kind string, after int64) []change {
-	var events []change
-	for _, c := range s.history {
-		if c.kind == kind && c.Object.Metadata.Revision > after {
-			events = append(events, c)
-		}
-	}
-	return events
-}
