platform: versions and watches follow the era of the store

The store may come back from a copy some seconds old: revisions go back and are issued again, so that a watch could go on from a revision of the old history and versions of upstreams compared by revision alone would stand still. Each answer's Store-Era is read. A watch or list from before the latest era ends with ErrOldEra and the kind is listed again, also if the answer had no error; watches in progress are cancelled. Versions of upstreams have the era in the bits from 48 on. Taking the first era seen as the base was ruled out, as routers that start after a restore would then order versions differently.

A router writes its record routers/HOST again in each new era, within 3 s, and at its end removes the record only if it is still its own, since the old revision may be that of a successor's record now. An older configuration that the store brings back is reported in a log line; it was not taken before either. New metric lacewing_store_era.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,9 +47,6 @@
 	quietPeriod = 600 * time.Millisecond
 	// stopPollInterval is the time between checks whether a stopping router may exit.
 	stopPollInterval = 25 * time.Millisecond
-	// unregisterTimeout bounds the removal of this router's record from the store
-	// at shutdown.
-	unregisterTimeout = 200 * time.Millisecond
 
 	// Limits of the router's HTTP servers.
 	headerTimeout  = 10 * time.Second
@@ -87,8 +84,8 @@
 	mu              sync.Mutex
 	machine         *shutdown.Machine
 	openConnections atomic.Int64
-	configured      atomic.Bool  // placement has had a configuration and upstreams
-	revision        atomic.Int64 // revision of this router's record in the store
+	configured      atomic.Bool                           // placement has had a configuration and upstreams
+	registration    atomic.Pointer[platform.Registration] // nil before the first one
 }
 
 // New creates a gateway and opens its listeners. Errors: ErrListen.
@@ -135,6 +132,7 @@
 	m.gauge("lacewing_caller_connections", func() float64 { return float64(g.openConnections.Load()) })
 	m.gauge("lacewing_config_version", func() float64 { return float64(g.config.Get().Version) })
 	m.gauge("lacewing_store_calls", func() float64 { return float64(g.store.Calls()) })
+	m.gauge("lacewing_store_era", func() float64 { return float64(g.feed.Era()) })
 	m.gauge("lacewing_store_age_seconds", func() float64 { return g.exchange.storeAge(time.Now()).Seconds() })
 	m.gauge("lacewing_parts_suspected", func() float64 { suspected, _ := g.pools.quarantineCounts(); return float64(suspected) })
 	m.gauge("lacewing_parts_barred", func() float64 { _, barred := g.pools.quarantineCounts(); return float64(barred) })
@@ -265,7 +263,7 @@
 	group.Go(func() error { return g.feed.RunConfig(runCtx) })
 	group.Go(func() error { return g.feed.RunUpstreams(runCtx) })
 	group.Go(func() error { return g.applyUpdates(runCtx) })
-	group.Go(func() error { g.register(runCtx); return nil })
+	group.Go(func() error { return g.keepRegistered(runCtx) })
 	group.Go(func() error { return g.exchange.keepBarredParts(runCtx) })
 	group.Go(func() error {
 		select {
@@ -329,20 +327,6 @@
 	g.callerServer.Close()
 }
 
-// register writes this router's record into the store and learns of the routers
-// registered there.
-func (g *Gateway) register(ctx context.Context) {
-	g.exchange.mu.Lock()
-	self := g.exchange.table.Self()
-	g.exchange.mu.Unlock()
-	others, revision, err := g.feed.Register(ctx, g.settings.Host, self)
-	if err != nil {
-		return // the router shut down first
-	}
-	g.revision.Store(revision)
-	g.exchange.learn(others)
-}
-
 // applyUpdates passes new versions of the configuration and the upstreams to
 // placement.
 func (g *Gateway) applyUpdates(ctx context.Context) error {
@@ -403,11 +387,3 @@
 		_ = pause.For(ctx, stopPollInterval)
 	}
 }
-
-func (g *Gateway) unregister() {
-	ctx, cancel := context.WithTimeout(context.Background(), unregisterTimeout)
-	defer cancel()
-	if err := g.feed.Unregister(ctx, g.settings.Host, g.revision.Load()); err != nil {
-		g.logger.Warn("removing this router's record from the store failed", "err", err)
-	}
-}
