versioned: which entries of a restored store are in use

A copy of the store lists instances that have left since, lacks some that live, and lacks names that the operator has set. Nothing is marked while no restore was seen, and checksums of rosters are the same as before then.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -190,6 +190,9 @@
 	// ID it identifies the instance: an instance that restarts under the same id
 	// has lost its caches and its requests.
 	StartedMs int64 `cbor:"7,keyasint,omitempty"`
+	// WrittenEra is the era of the store in which the entry is known to have been
+	// written, 0 if that is not known or does not matter.
+	WrittenEra int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // SameInstance reports whether u and other are the same run of the same upstream.
--- a/versioned/retention.go
+++ b/versioned/retention.go
@@ -12,7 +12,7 @@
 	// old to rely on: one watch, its slack and one report.
 	StaleAfter = 2200 * time.Millisecond
 	// MissingGrace is how long entries that went missing in an outage are kept after
-	// the store has recovered. The platform restores the entries of live upstreams
+	// the store has recovered, and entries that its copy lacks after it was restored. The platform restores the entries of live upstreams
 	// within about two seconds.
 	MissingGrace = 2200 * time.Millisecond
 	// minWatchTimeout keeps watches from becoming a busy loop.
@@ -21,7 +21,8 @@
 
 // Retention decides which upstreams a router uses besides those in the latest roster.
 // In an outage of the store entries expire because upstreams cannot renew them, so the
-// missing ones stay in use for a grace period after it. Each router retains them for
+// missing ones stay in use for a grace period after it, and so do those that a copy of the
+// store lacks after it was restored. Each router retains them for
 // itself, as the rosters that routers exchange hold what the store lists and nothing
 // else. The zero value holds no upstreams. It does no I/O and is not safe for concurrent
 // use.
@@ -33,6 +34,9 @@
 	// lostAt is the latest confirmation before the outage.
 	outage           bool
 	lostAt, graceEnd time.Time
+	// restoreEnd is MissingGrace after this router saw that the store was restored from a
+	// copy.
+	restoreEnd time.Time
 	// confirmedAt is the latest confirmation. Reports that told of it are forgotten
 	// before it counts as too old.
 	confirmedAt time.Time
@@ -76,13 +80,17 @@
 	if !c.AnswersSince.IsZero() && c.AnswersSince.Before(r.lostAt.Add(StaleAfter)) {
 		r.outage, r.graceEnd = false, time.Time{}
 	}
-	if len(r.missing) == 0 || r.outage || r.confirmedAt.Before(r.graceEnd) {
+	if len(r.missing) == 0 || r.outage || r.confirmedAt.Before(r.graceEnd) || r.confirmedAt.Before(r.restoreEnd) {
 		return false
 	}
 	clear(r.missing)
 	return true
 }
 
+// Restore records that the store was restored from a copy, before the first roster of the
+// new era is set.
+func (r *Retention) Restore(now time.Time) { r.restoreEnd = now.Add(MissingGrace) }
+
 // Interrupt records that the process was paused, so that it cannot tell whether the
 // store has answered all the time.
 func (r *Retention) Interrupt() { r.answersSince = time.Time{} }
@@ -99,7 +107,7 @@
 // List sets the latest roster and returns the upstreams that are missing in it and stay
 // in use.
 func (r *Retention) List(now time.Time, roster *Roster) (retained []catalog.Upstream) {
-	if r.listed != nil && (r.outage || now.Before(r.graceEnd)) {
+	if r.listed != nil && (r.outage || now.Before(r.graceEnd) || now.Before(r.restoreEnd)) {
 		retained = r.listed.missingIn(roster)
 	}
 	maps.DeleteFunc(r.missing, func(id string, _ catalog.Upstream) bool { return roster.lists(id) })
@@ -136,8 +144,12 @@
 // WatchTimeout returns how long the next watch of the store may take, at most longest,
 // so that it confirms in time which upstreams are still missing.
 func (r *Retention) WatchTimeout(now time.Time, longest time.Duration) time.Duration {
-	if len(r.missing) == 0 || !now.Before(r.graceEnd) {
+	end := r.graceEnd
+	if r.restoreEnd.After(end) {
+		end = r.restoreEnd
+	}
+	if len(r.missing) == 0 || !now.Before(end) {
 		return longest
 	}
-	return min(max(r.graceEnd.Sub(now), minWatchTimeout), longest)
+	return min(max(end.Sub(now), minWatchTimeout), longest)
 }
--- a/versioned/roster.go
+++ b/versioned/roster.go
@@ -123,6 +123,9 @@
 	for _, number := range []int64{int64(u.Slots), u.StartedMs} {
 		buffer = binary.LittleEndian.AppendUint64(buffer, uint64(number))
 	}
+	if u.WrittenEra != 0 { // routers of earlier releases do not know the field
+		buffer = binary.LittleEndian.AppendUint64(buffer, uint64(u.WrittenEra))
+	}
 	return xxhash.Sum64(strconv.AppendBool(buffer, u.Draining))
 }
 
