Merge eras of the store: cold reports and permits are ordered by versions, not by revisions

Revisions go back when the store comes back from a copy, so what orders permits of cold upstreams is the version of (era, revision).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -200,6 +200,9 @@
 	// has lost its caches and its requests.
 	StartedMs int64 `cbor:"7,keyasint,omitempty"`
 	ColdReport
+	// WrittenEra is the era of the store in which the entry is known to have been
+	// written, 0 if that is not known or does not matter.
+	WrittenEra int64 `cbor:"11,keyasint,omitempty"`
 }
 
 // SameInstance reports whether u and other are the same run of the same upstream.
--- a/catalog/cold.go
+++ b/catalog/cold.go
@@ -22,12 +22,12 @@
 	// ColdLeftMs is for how long the upstream stays cold, in milliseconds, counted from
 	// when a router first receives the report.
 	ColdLeftMs int64 `cbor:"8,keyasint,omitempty"`
-	// ColdRevision is the revision of the store with which ColdLeftMs was read. Another
+	// ColdVersion is the version of the list with which ColdLeftMs was read. Another
 	// one starts the time again.
-	ColdRevision int64 `cbor:"9,keyasint,omitempty"`
-	// WarmRevision is a revision of the store at which the upstream was warm before; 0 if
-	// none is known. Permits with a lower revision belong to earlier cold periods.
-	WarmRevision int64 `cbor:"10,keyasint,omitempty"`
+	ColdVersion int64 `cbor:"9,keyasint,omitempty"`
+	// WarmVersion is a version of the list at which the upstream was warm before; 0 if
+	// none is known. Permits with a lower version belong to earlier cold periods.
+	WarmVersion int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Left returns for how long the upstream counts as cold from the receipt of the report.
--- a/coldlimit/coldlimit_test.go
+++ b/coldlimit/coldlimit_test.go
@@ -26,7 +26,7 @@
 	return catalog.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", DataCentre: "a", StartedMs: 5, ColdReport: report}
 }
 
-var coldReport = catalog.ColdReport{ColdLeftMs: 3000, ColdRevision: 100, WarmRevision: 90}
+var coldReport = catalog.ColdReport{ColdLeftMs: 3000, ColdVersion: 100, WarmVersion: 90}
 
 func (t *Table) set(now time.Time, upstreams ...catalog.Upstream) {
 	t.SetUpstreams(now, "s", testLimits, upstreams)
@@ -42,7 +42,7 @@
 
 // stored returns the result of a call that found an object.
 func stored(holder string, revision int64) Result {
-	return Result{Outcome: Done, Stored: Object{Holder: holder, StartedMs: 5, Revision: revision}}
+	return Result{Outcome: Done, Stored: Object{Holder: holder, StartedMs: 5, Revision: revision, Version: revision}}
 }
 
 // Guards against requests to a cold upstream before this router holds the permit, and
@@ -62,7 +62,7 @@
 	now = now.Add(coldReport.Left())
 	assert.True(t, table.Allows(now, "u"), "warm")
 	c = request(t, table, now)
-	assert.Equal(t, Call{Kind: Remove, Upstream: "u", Permit: Object{Holder: "own", StartedMs: 5, Revision: 110}}, c)
+	assert.Equal(t, Call{Kind: Remove, Upstream: "u", Permit: Object{Holder: "own", StartedMs: 5, Revision: 110, Version: 110}}, c)
 	table.Completed(now, c, Result{Outcome: Done})
 	assert.True(t, table.Idle())
 }
@@ -85,9 +85,9 @@
 		"own from an earlier period":  {[]Result{{Outcome: Conflict}, stored("own", 80), stored("own", 110)}, Held, Replace},
 		"another replaces it first":   {[]Result{{Outcome: Conflict}, stored("other", 80), {Outcome: Conflict}, stored("third", 110)}, Refused, Read},
 		"removed meanwhile":           {[]Result{{Outcome: Conflict}, stored("other", 80), {Outcome: Missing}}, Wanted, Replace},
-		"left from an earlier run": {[]Result{{Outcome: Conflict}, {Outcome: Done, Stored: Object{Holder: "other", StartedMs: 4, Revision: 200}},
+		"left from an earlier run": {[]Result{{Outcome: Conflict}, {Outcome: Done, Stored: Object{Holder: "other", StartedMs: 4, Revision: 200, Version: 200}},
 			stored("own", 210)}, Held, Replace},
-		"of a later run": {[]Result{{Outcome: Conflict}, {Outcome: Done, Stored: Object{Holder: "other", StartedMs: 6, Revision: 80}}}, Refused, Read},
+		"of a later run": {[]Result{{Outcome: Conflict}, {Outcome: Done, Stored: Object{Holder: "other", StartedMs: 6, Revision: 80, Version: 80}}}, Refused, Read},
 	} {
 		t.Run(name, func(t *testing.T) {
 			table, now := newTable(), testStart
@@ -150,7 +150,7 @@
 	for name, doubt := range map[string]func(*Table, time.Time){
 		"pause": func(t *Table, now time.Time) { t.Interrupt(now) },
 		"warm meanwhile": func(t *Table, now time.Time) {
-			t.set(now, upstream(catalog.ColdReport{ColdLeftMs: 3000, ColdRevision: 200, WarmRevision: 190}))
+			t.set(now, upstream(catalog.ColdReport{ColdLeftMs: 3000, ColdVersion: 200, WarmVersion: 190}))
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -171,7 +171,7 @@
 // wait for a connection the bucket fills again.
 func TestRequestsThatWaitedAreNotSentTogether(t *testing.T) {
 	table, now := newTable(), testStart
-	table.set(now, upstream(catalog.ColdReport{ColdLeftMs: 60_000, ColdRevision: 1}))
+	table.set(now, upstream(catalog.ColdReport{ColdLeftMs: 60_000, ColdVersion: 1}))
 	table.Completed(now, request(t, table, now), stored("own", 110))
 	var waiting []*Token
 	for range 40 {
--- a/coldlimit/permit.go
+++ b/coldlimit/permit.go
@@ -42,6 +42,9 @@
 	Holder    string
 	StartedMs int64 // of the instance
 	Revision  int64
+	// Version orders the object among the versions of lists; it also rises when the store
+	// comes back from a copy.
+	Version int64
 }
 
 // permit is this router's view of the permit for one cold period.
@@ -61,10 +64,10 @@
 }
 
 // belongsToEarlier reports whether an object was created for an earlier run or an earlier
-// cold period of an upstream. The store orders all revisions, so an object with a lower
-// one than that of an entry which said "warm" is older than the current period.
+// cold period of an upstream. Versions are ordered, so an object with a lower
+// one than that of a list which said "warm" is older than the current period.
 func belongsToEarlier(o Object, u catalog.Upstream) bool {
-	return o.StartedMs < u.StartedMs || o.StartedMs == u.StartedMs && o.Revision < u.WarmRevision
+	return o.StartedMs < u.StartedMs || o.StartedMs == u.StartedMs && o.Version < u.WarmVersion
 }
 
 // retry waits before the next call.
--- a/versioned/cold.go
+++ b/versioned/cold.go
@@ -10,8 +10,8 @@
 // heartbeat, into those of rosters, which change only if the end of the cold period
 // does. It is not safe for concurrent use.
 type ColdReports struct {
-	// revision is that of the latest complete list or change.
-	revision int64
+	// version is that of the latest complete list or change.
+	version int64
 	ends     map[string]time.Time // of the reports in the roster, by upstream
 }
 
@@ -19,22 +19,22 @@
 func NewColdReports() *ColdReports { return &ColdReports{ends: map[string]time.Time{}} }
 
 // Observe returns an entry with the report to put into the roster. u holds the entry as
-// read at a revision of the store, and before what the roster says; it is zero if the
+// read at a version of the list, and before what the roster says; it is zero if the
 // upstream is new.
-func (c *ColdReports) Observe(now time.Time, revision int64, before, u catalog.Upstream) catalog.Upstream {
+func (c *ColdReports) Observe(now time.Time, version int64, before, u catalog.Upstream) catalog.Upstream {
 	if u.ColdLeftMs <= 0 {
 		delete(c.ends, u.ID)
 		u.ColdReport = catalog.ColdReport{}
 		return u
 	}
-	u.ColdRevision = revision
+	u.ColdVersion = version
 	end := now.Add(time.Duration(u.ColdLeftMs) * time.Millisecond)
 	switch {
 	case !before.SameInstance(u):
 	case before.ColdLeftMs == 0:
-		u.WarmRevision = c.revision
+		u.WarmVersion = c.version
 	case end.After(c.ends[u.ID].Add(catalog.ColdMargin)):
-		u.WarmRevision = before.WarmRevision
+		u.WarmVersion = before.WarmVersion
 	default:
 		u.ColdReport = before.ColdReport
 		return u
@@ -43,5 +43,5 @@
 	return u
 }
 
-// Applied records that all entries of a list or change up to a revision were observed.
-func (c *ColdReports) Applied(revision int64) { c.revision = revision }
+// Applied records that all entries of a list or change up to a version were observed.
+func (c *ColdReports) Applied(version int64) { c.version = version }
--- a/versioned/cold_test.go
+++ b/versioned/cold_test.go
@@ -40,7 +40,7 @@
 	o.see(0, 0)
 	first, changed := o.see(time.Second, 3000)
 	require.True(t, changed)
-	assert.Equal(t, catalog.ColdReport{ColdLeftMs: 3000, ColdRevision: 20, WarmRevision: 10}, first.ColdReport)
+	assert.Equal(t, catalog.ColdReport{ColdLeftMs: 3000, ColdVersion: 20, WarmVersion: 10}, first.ColdReport)
 	for _, step := range []struct {
 		after  time.Duration
 		leftMs int64
@@ -61,7 +61,7 @@
 	o.see(time.Second, 3000)
 	again, changed := o.see(3400*time.Millisecond, 2500)
 	require.True(t, changed)
-	assert.Equal(t, catalog.ColdReport{ColdLeftMs: 2500, ColdRevision: 30, WarmRevision: 10}, again.ColdReport)
+	assert.Equal(t, catalog.ColdReport{ColdLeftMs: 2500, ColdVersion: 30, WarmVersion: 10}, again.ColdReport)
 }
 
 // Guards against a checksum that does not cover the cold time: a router would go on with
@@ -69,7 +69,7 @@
 func TestColdTimeTravelsInChangesAndChecksum(t *testing.T) {
 	u := catalog.Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80"}
 	cold := u
-	cold.ColdReport = catalog.ColdReport{ColdLeftMs: 3000, ColdRevision: 20, WarmRevision: 10}
+	cold.ColdReport = catalog.ColdReport{ColdLeftMs: 3000, ColdVersion: 20, WarmVersion: 10}
 	before, after := NewRoster([]catalog.Upstream{u}), NewRoster([]catalog.Upstream{cold})
 	assert.NotEqual(t, before.Checksum(), after.Checksum())
 	encoded, err := cbor.Marshal(after.ChangeSince(before))
--- a/versioned/roster.go
+++ b/versioned/roster.go
@@ -124,11 +124,15 @@
 		buffer = binary.LittleEndian.AppendUint64(buffer, uint64(number))
 	}
 	buffer = strconv.AppendBool(buffer, u.Draining)
-	if u.ColdReport != (catalog.ColdReport{}) { // warm ones hash as at routers of earlier releases
-		for _, number := range []int64{u.ColdLeftMs, u.ColdRevision, u.WarmRevision} {
+	// What routers of earlier releases do not know hashes as it does there while it is not used.
+	if u.ColdReport != (catalog.ColdReport{}) {
+		for _, number := range []int64{u.ColdLeftMs, u.ColdVersion, u.WarmVersion} {
 			buffer = binary.LittleEndian.AppendUint64(buffer, uint64(number))
 		}
 	}
+	if u.WrittenEra != 0 {
+		buffer = binary.LittleEndian.AppendUint64(buffer, uint64(u.WrittenEra))
+	}
 	return xxhash.Sum64(buffer)
 }
 
