placement: restricted requests to large services find the upstreams of their regions

Of a service with more than 160 upstreams a router considers 96 for each request, at most 24 of them outside its region unless there are fewer near ones. None of them may be in a permitted region: of 1,500 upstreams, ten of them in the permitted region, a router in another region considered none or one, and refused the requests although the others were free.

For each list of permitted regions that is in use, the pool now chooses the candidates among the permitted upstreams alone, by the same rule. The list is chosen at the first such request, again after the upstreams have changed, and dropped 20 s after the latest request. The router's interest has its upstreams meanwhile, so routers without restricted requests announce what they did before. If no upstream is permitted, the near ones are screened, so that the refusal still names the rule.

Ruled out: more far upstreams for all requests, which would add to the loads that relays send; choosing the list at each request, which sorts 1,500 upstreams.

Tests run: placement passes; gateway passes for Region, Restrict, Share, Retry. Without the lists TestRestrictedRequestsFindFarUpstreams and TestInterestHasPermittedUpstreamsWhileNeeded fail.

--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -187,7 +187,7 @@
 		needed = append(needed, pool.Interest(now)...)
 	}
 	for _, pool := range p.plainPools {
-		needed = append(needed, pool.Interest()...)
+		needed = append(needed, pool.Interest(now)...)
 	}
 	return &fleet.Interest{Upstreams: needed}
 }
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -101,8 +101,9 @@
 	engine    catalog.Engine // slots and memory of each engine
 	engines   map[string]*engine
 	order     []*engine
-	near      []*engine // considered for every request
-	priorRate float64   // assumed read rate before samples, in tokens per ms
+	near      []*engine // considered for every request that is not restricted
+	permitted permittedLists[*engine]
+	priorRate float64 // assumed read rate before samples, in tokens per ms
 	rng       *rand.Rand
 }
 
@@ -141,6 +142,7 @@
 // results of rules have changed for all routers.
 func (p *EnginePool) RulesChanged(now time.Time) {
 	p.near = nearby(now, &p.upstreamSet, p.order)
+	p.permitted.invalidate()
 	for _, e := range p.order {
 		e.near = false
 	}
@@ -168,7 +170,7 @@
 	}
 	hashes := prefixHashes(r.Parts)
 	homes := p.homes(now, hashes, r.Eligibility)
-	candidates := p.candidates(now, homes)
+	candidates := p.candidates(now, homes, r.Eligibility)
 	screen := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, candidates)
 	maxWait := p.maxWait(r)
 	var best, shortest *candidate
--- a/placement/member.go
+++ b/placement/member.go
@@ -186,10 +186,15 @@
 // nearby returns the upstreams that this router considers for every request: all of
 // a small service, and of a large one some of each distance, those in its own data
 // centre first. Routers choose different ones, so that together they use all.
-// Upstreams that rules keep from all routers do not take the place of others.
 func nearby[S interface{ base() *upstreamState }](now time.Time, set *upstreamSet, all []S) []S {
 	set.limited = len(all) > maxCandidates
-	if !set.limited {
+	return chooseNearby(now, set, all)
+}
+
+// chooseNearby returns the upstreams of a list that are considered: all of a short one.
+// Upstreams that rules keep from all routers do not take the place of others.
+func chooseNearby[S interface{ base() *upstreamState }](now time.Time, set *upstreamSet, all []S) []S {
+	if len(all) <= maxCandidates {
 		return all
 	}
 	var near, region, far []S
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -74,12 +74,15 @@
 	return maxHomes
 }
 
-// candidates returns the engines that are considered for a prompt with the given
-// homes.
-func (p *EnginePool) candidates(now time.Time, homes []*engine) []*engine {
+// candidates returns the engines that are considered for a request whose prompt has the
+// given homes.
+func (p *EnginePool) candidates(now time.Time, homes []*engine, request eligibility.Request) []*engine {
 	if !p.limited {
 		return p.near
 	}
+	if request.Regions != nil {
+		return p.withHomes(now, p.permitted.candidates(now, &p.upstreamSet, p.near, p.order, request), homes)
+	}
 	candidates := make([]*engine, 0, len(p.near)+len(homes))
 	candidates = append(candidates, p.near...)
 	for _, e := range homes {
@@ -91,11 +94,27 @@
 	return candidates
 }
 
+// withHomes returns engines with the homes of a prompt that are not among them.
+func (p *EnginePool) withHomes(now time.Time, engines, homes []*engine) []*engine {
+	candidates := slices.Clone(engines)
+	for _, e := range homes {
+		e.homeUsedAt = now
+		if !slices.Contains(engines, e) {
+			candidates = append(candidates, e)
+		}
+	}
+	return candidates
+}
+
 // Interest returns the ids of the engines whose loads this router needs to know.
 func (p *EnginePool) Interest(now time.Time) []string {
+	needed := map[*engine]bool{}
+	for _, e := range p.permitted.inUse(now, &p.upstreamSet, p.order) {
+		needed[e] = true
+	}
 	var ids []string
 	for _, e := range p.order {
-		if e.near || !e.homeUsedAt.IsZero() && now.Sub(e.homeUsedAt) < partTTL {
+		if e.near || needed[e] || !e.homeUsedAt.IsZero() && now.Sub(e.homeUsedAt) < partTTL {
 			ids = append(ids, e.upstream.ID)
 		}
 	}
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/catalog"
@@ -47,9 +48,11 @@
 	policy PlainPolicy
 	states map[string]*plainUpstream
 	order  []*plainUpstream
-	near   []*plainUpstream // considered for every request
-	time   float64          // EWMA of the response times of all upstreams in ms
-	rng    *rand.Rand
+	near   []*plainUpstream // considered for every request that is not restricted
+	// permitted holds those that are considered for restricted ones.
+	permitted permittedLists[*plainUpstream]
+	time      float64 // EWMA of the response times of all upstreams in ms
+	rng       *rand.Rand
 }
 
 // plainUpstream is the state of one upstream of a plain service.
@@ -74,24 +77,43 @@
 
 // RulesChanged chooses the upstreams that are considered for every request anew, after
 // the results of rules have changed for all routers.
-func (p *PlainPool) RulesChanged(now time.Time) { p.near = nearby(now, &p.upstreamSet, p.order) }
+func (p *PlainPool) RulesChanged(now time.Time) {
+	p.near = nearby(now, &p.upstreamSet, p.order)
+	p.permitted.invalidate()
+}
 
 // Interest returns the ids of the upstreams whose loads this router needs to know.
-func (p *PlainPool) Interest() []string {
+func (p *PlainPool) Interest(now time.Time) []string {
 	var ids []string
 	for _, s := range p.near {
 		ids = append(ids, s.upstream.ID)
 	}
-	return ids
+	if len(p.permitted.byRegions) == 0 {
+		return ids
+	}
+	for _, s := range p.permitted.inUse(now, &p.upstreamSet, p.order) {
+		ids = append(ids, s.upstream.ID)
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
+// candidates returns the upstreams that are considered for a request.
+func (p *PlainPool) candidates(now time.Time, request eligibility.Request) []*plainUpstream {
+	if !p.limited || request.Regions == nil {
+		return p.near
+	}
+	return p.permitted.candidates(now, &p.upstreamSet, p.near, p.order, request)
 }
 
 // Place chooses the upstream with the lowest predicted response time, adjusted for
 // distance and failures.
 func (p *PlainPool) Place(now time.Time, r PlainRequest) Decision {
-	screen := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, p.near)
+	candidates := p.candidates(now, r.Eligibility)
+	screen := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, candidates)
 	var best *plainUpstream
 	var bestCost, bestTimeMs float64
-	for _, s := range p.near {
+	for _, s := range candidates {
 		if !screen.admits(&s.upstreamState, 0) {
 			continue
 		}
