gateway, placement: shares and refusals follow the permitted regions

Routers compute the shares with the regions that the configuration permits each workspace and the part that each region has of the listed engines outside evacuated data centres. What routes permit cannot be attributed to a workspace: routers exchange the sums of a workspace over all routes.

A restricted request that is refused for load now states "permitted regions are full"; if no upstream is in a permitted region, the retry time is 1 to 2 s, as upstreams that start need some seconds until they are listed. The time until an upstream is free counts the permitted ones only.

If the route permits less than the workspace, such a refusal counts neither as requested nor as refused: it made the workspace one with unmet demand, for which the others leave capacity, and shrank the estimate of all capacity while other regions were idle. Refusals of a confined workspace count as before, for its own share. Deployments that name no regions compute as before.

The rule on regions is Uniform: its result for a request is the same at all routers.

Ruled out: a count of tokens by workspace and region in the reports, which would multiply what relays send.

Tests run: gateway (Confin, Regions, Refus, UntilFree, Evac, Cold, Capacity, LeftAlone), placement, catalog and fairshare pass.

--- a/catalog/regions.go
+++ b/catalog/regions.go
@@ -142,6 +142,21 @@
 	return routes
 }
 
+// ConfinedWorkspaces returns the regions that workspaces permit, by name, of those that
+// name any.
+func (t *Table) ConfinedWorkspaces() map[string][]string {
+	if !t.restricted {
+		return nil
+	}
+	regions := map[string][]string{}
+	for _, w := range t.workspaces {
+		if w.Regions != nil {
+			regions[w.Name] = w.Regions
+		}
+	}
+	return regions
+}
+
 // restrictedWorkspaces returns the workspaces that name regions, sorted by name.
 func (t *Table) restrictedWorkspaces() []*Workspace {
 	seen := map[*Workspace]bool{}
--- a/eligibility/regions.go
+++ b/eligibility/regions.go
@@ -21,3 +21,6 @@
 	}
 	return OutsideRegions
 }
+
+// Uniform implements Uniform.
+func (Regions) Uniform() {}
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -62,5 +62,9 @@
 	return engines
 }
 
-// setCapacity computes the tokens per window that all workspaces may be granted.
-func (p *pools) setCapacity() { p.capacity = p.nominalCapacity * p.engineCapacity.available() }
+// setCapacity computes the tokens per window that all workspaces may be granted, and the
+// part of them in each region.
+func (p *pools) setCapacity() {
+	p.capacity = p.nominalCapacity * p.engineCapacity.available()
+	p.confinement.Parts = p.engineCapacity.regionParts(p.regions)
+}
--- a/gateway/dispatch.go
+++ b/gateway/dispatch.go
@@ -4,9 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/lacewingshift/lacewingshift/catalog"
 	"github.com/lacewingshift/lacewingshift/coldlimit"
-	"github.com/lacewingshift/lacewingshift/eligibility"
 	"github.com/lacewingshift/lacewingshift/placement"
 	"github.com/lacewingshift/lacewingshift/quarantine"
 )
@@ -115,16 +113,15 @@
 	// The first attempt has already been charged to the share, so that a retry is
 	// placed with usage 0.
 	a.share = shareUse{within: true}
-	if len(c.tried) == 0 {
+	first := len(c.tried) == 0
+	if first {
 		p.meter.AddRequested(now, workspace, a.cost)
 		a.share = p.fillBuckets(now, workspace, a.cost)
 	}
 	request := c.engineRequest(a.share)
 	a.Decision = a.enginePool.Place(now, request)
 	if a.Refused() {
-		if a.Reason == placement.Overloaded || a.Reason == placement.AllLeftAlone || a.Reason == placement.Reason(eligibility.ColdLimited) {
-			p.meter.AddRefused(now, workspace, a.cost)
-		}
+		p.countUnserved(now, c, &a, first)
 		return a
 	}
 	if !c.mayHaveRun {
@@ -164,15 +161,15 @@
 	return a.upstreams().MaySend(now, a.ticket) && p.mayCold(now, c.service, a)
 }
 
-// freeIn returns the time until an upstream of a service may get a request.
-func (p *pools) freeIn(now time.Time, service *catalog.Service) time.Duration {
+// freeIn returns the time until an upstream may get a request.
+func (p *pools) freeIn(now time.Time, c *call) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if service.Engine == nil {
-		return p.plainPool(service.Name).FreeIn(now)
+	if c.service.Engine == nil {
+		return p.plainPool(c.service.Name).FreeIn(now, c.eligibility())
 	}
-	if pool := p.enginePools[service.Name]; pool != nil {
-		return pool.FreeIn(now)
+	if pool := p.enginePools[c.service.Name]; pool != nil {
+		return pool.FreeIn(now, c.eligibility())
 	}
 	return 0
 }
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -42,7 +42,9 @@
 	remoteRetries    map[string]budget.Counts    // by service; the sum over the other routers
 	reportingRouters int                         // other routers that the sums cover
 	knownRouters     int                         // other routers that exist
-	shares           fairshare.Shares
+	shares           fairshare.Shares            // of workspaces that name no regions
+	confinedShares   map[string]fairshare.Shares // of the others, by workspace
+	confinement      fairshare.Confinement
 	nominalCapacity  float64 // tokens per window of all engines
 	engineCapacity   engineCapacity
 	capacity         float64       // tokens per window that may be granted
@@ -69,6 +71,7 @@
 	if table.RestrictsRegions() {
 		p.requireRegions()
 	}
+	p.confinement.Regions = table.ConfinedWorkspaces()
 	p.nominalCapacity = table.Limits.TokensPerSecond * p.shareWindow.Seconds()
 	p.engineCapacity.list(countEngines(table, upstreams))
 	p.setCapacity()
@@ -119,7 +122,7 @@
 	MarkLeaving(now time.Time, i placement.Instance) bool
 	LeaveAlone(now time.Time, t *placement.Ticket, wait time.Duration) time.Duration
 	MaySend(now time.Time, t *placement.Ticket) bool
-	FreeIn(now time.Time) time.Duration
+	FreeIn(now time.Time, r eligibility.Request) time.Duration
 	RulesChanged(now time.Time)
 }
 
@@ -219,7 +222,8 @@
 	for workspace, tokens := range p.remoteTokens {
 		byWorkspace[workspace] = byWorkspace[workspace].Add(tokens)
 	}
-	p.shares = fairshare.Compute(p.capacity, byWorkspace)
+	shares := fairshare.ComputeConfined(p.capacity, byWorkspace, p.confinement)
+	p.shares, p.confinedShares = shares.Any, shares.ByWorkspace
 }
 
 // chargeShare charges tokens to the bucket that an assignment draws on. A negative
@@ -235,18 +239,19 @@
 // fillBuckets fills the buckets of a workspace and returns what it has used of its
 // share before a request of the given cost.
 func (p *pools) fillBuckets(now time.Time, workspace string, cost float64) shareUse {
+	shares := p.sharesOf(workspace)
 	own, others := p.meter.Sum(now, workspace), p.remoteTokens[workspace]
 	total := own.Add(others)
-	shareRate, spareRate := p.shares.Rates(own, total, p.shareWindow)
+	shareRate, spareRate := shares.Rates(own, total, p.shareWindow)
 	hasShare := p.shareBuckets.Fill(now, workspace, shareRate)
 	hasSpare := p.spareBuckets.Fill(now, workspace, spareRate)
 	reportAge := p.remoteAge + now.Sub(p.remoteAt)
 	unreported := fairshare.Unreported(p.meter.RecentlyGranted(now, workspace, min(reportAge, maxUnreportedAge)), own, others)
-	usage := p.shares.Usage(total.Granted+unreported, cost)
+	usage := shares.Usage(total.Granted+unreported, cost)
 	return shareUse{
-		own: own.Granted, others: others.Granted, unreported: unreported, share: p.shares.MaxMinShare, usage: usage,
-		within:    usage < 1 || hasShare || !p.shares.Backlogged(total),
-		mayExceed: hasSpare && p.shares.MayExceed(usage),
+		own: own.Granted, others: others.Granted, unreported: unreported, share: shares.MaxMinShare, usage: usage,
+		within:    usage < 1 || hasShare || !shares.Backlogged(total),
+		mayExceed: hasSpare && shares.MayExceed(usage),
 		reportAge: reportAge,
 	}
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -76,7 +76,7 @@
 	platform.CopyHeaders(out.w.Header(), response.Header)
 	if c.leaveAlone {
 		// The time that the upstream asked for is not when the caller is served.
-		retryAfter := max(h.pools.freeIn(time.Now(), c.service), placement.Jitter(placement.MinRetryAfter, rand.Float64()))
+		retryAfter := max(h.pools.freeIn(time.Now(), c), placement.Jitter(placement.MinRetryAfter, rand.Float64()))
 		platform.SetRouterHeaders(out.w.Header(), "", retryAfter)
 	}
 	if len(buffered) < bufferLimit && response.ContentLength < 0 && c.request.Method != http.MethodHead {
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -88,7 +88,7 @@
 		}
 		a, ok := h.nextAssignment(now, c)
 		if !ok {
-			h.giveUp(out, c, http.StatusBadGateway, "no further attempt allowed", max(notReadyRetry, h.pools.freeIn(now, c.service)))
+			h.giveUp(out, c, http.StatusBadGateway, "no further attempt allowed", max(notReadyRetry, h.pools.freeIn(now, c)))
 			return
 		}
 		h.metrics.assigned(&a)
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -70,9 +70,25 @@
 	if d.Reason == NoUpstream && c.ineligible != "" {
 		d.Reason = Reason(c.ineligible)
 	}
+	if c.ineligible == eligibility.OutsideRegions && d.Reason == Reason(c.ineligible) {
+		d.RetryAfter = Jitter(lostRegionRetry, point)
+	}
 	return d
 }
 
+// lostRegionRetry is the shortest retry time while no upstream is in a permitted region.
+// Upstreams that start need some seconds until they are listed.
+const lostRegionRetry = time.Second
+
+// overloaded returns the reason of a refusal because of the load of all upstreams that
+// may get a request.
+func overloaded(r eligibility.Request) Reason {
+	if r.Regions != nil {
+		return RegionsFull
+	}
+	return Overloaded
+}
+
 // panicMode reports whether more than half of the candidates for a request that may get
 // it are failing. All are then used again: either the cause lies elsewhere or there is
 // nothing better.
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -232,7 +232,7 @@
 // refuse returns a refusal whose retry time covers the excess of the shortest wait
 // over maxWait, in ms.
 func (p *EnginePool) refuse(r EngineRequest, shortest *candidate, maxWait float64) Decision {
-	reason := Overloaded
+	reason := overloaded(r.Eligibility)
 	if r.BeyondShare {
 		reason = OverShare
 	}
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -80,10 +80,10 @@
 
 // FreeIn returns the time until an upstream may get a request: 0 if one may now, or if
 // none will by the passing of time.
-func (set *upstreamSet) FreeIn(now time.Time) time.Duration {
+func (set *upstreamSet) FreeIn(now time.Time, r eligibility.Request) time.Duration {
 	var barred barredUpstreams
 	for _, state := range set.ordered {
-		if !set.uniformlyAllowed(now, state, eligibility.Request{}) {
+		if !set.uniformlyAllowed(now, state, r) {
 			continue
 		}
 		if !state.barred(now) {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -43,6 +43,8 @@
 	NoUpstream Reason = "no upstream"
 	Overloaded Reason = "overloaded"
 	OverShare  Reason = "over its share"
+	// RegionsFull: the same as Overloaded, for a request that only some regions may serve.
+	RegionsFull Reason = "permitted regions are full"
 	// AllLeftAlone: each upstream that is not failing or leaving asked for no requests
 	// for a time.
 	AllLeftAlone Reason = "upstreams ask to be left alone"
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -132,7 +132,7 @@
 	wait := time.Duration(bestTimeMs * float64(time.Millisecond))
 	if float64(wait) > p.policy.MaxWait*float64(r.Remaining) {
 		excess := wait - time.Duration(p.policy.MaxWait*float64(r.Remaining))
-		return Decision{Reason: Overloaded, RetryAfter: Jitter(excess+MinRetryAfter, p.rng.Float64()), Wait: wait}
+		return Decision{Reason: overloaded(r.Eligibility), RetryAfter: Jitter(excess+MinRetryAfter, p.rng.Float64()), Wait: wait}
 	}
 	return Decision{Upstream: best.upstream, Wait: wait, HeldBack: screen.barred.first}
 }
