daemon: lacewingd check -config checks a configuration file

A route and a workspace without a common region, or with regions that have no data centre, showed only in the routers' logs once the configuration was applied.

"lacewingd check -config FILE" decodes the spec of config/main as routers do and prints each such route, workspace or pair; it ends with 1 if there is any. Which regions have data centres stands in the settings of a router, so that these are checked only with -platform FILE beside it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -65,31 +65,36 @@
 	})
 }
 
-// CheckCommand checks a settings file without starting anything.
+// CheckCommand checks a settings file or a configuration file without starting anything.
 type CheckCommand struct {
 	file     string
 	platform string // settings file in the platform's format, checked instead of file
+	config   string // configuration file in the platform's format, checked instead of file
 }
 
 // Name implements subcommands.Command.
 func (*CheckCommand) Name() string { return "check" }
 
 // Synopsis implements subcommands.Command.
-func (*CheckCommand) Synopsis() string { return "check a settings file" }
+func (*CheckCommand) Synopsis() string { return "check a settings or configuration file" }
 
 // Usage implements subcommands.Command.
 func (*CheckCommand) Usage() string {
-	return "check -settings FILE | -platform FILE: print every fault of the file\n"
+	return "check -settings FILE | -platform FILE | -config FILE [-platform FILE]: print every fault of the file\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *CheckCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.file, "settings", "", "settings file in JSON")
 	f.StringVar(&c.platform, "platform", "", "settings file in the platform's format, instead of -settings")
+	f.StringVar(&c.config, "config", "", "configuration file in the platform's format (the spec of config/main), instead of -settings; with -platform, its regions are checked against the data centres of those settings")
 }
 
 // Execute implements subcommands.Command.
 func (c *CheckCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if c.config != "" {
+		return checkConfig(c.config, c.platform)
+	}
 	if c.platform != "" {
 		return checkPlatform(c.platform)
 	}
