gateway: simulation of a workspace that is bound to a small region

Nothing played shares with confined workspaces over several routers.

The simulation of fair sharing gets a second region with two of 16 engines and a workspace bound to it, by itself or by its route, beside two backlogged ones that are not.

Tests run: gateway TestConfinedWorkspaceInAFleet passes.

--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -51,6 +51,7 @@
 	engines    map[string]*simulatedEngine
 	events     simEvents
 	workspaces map[string]*catalog.Workspace
+	routes     map[string]*catalog.Route // by workspace; simRoute for those that are missing
 	// granted holds tokens by workspace and step of a report interval.
 	granted map[string][]float64
 	// large and small count the requests of the workspace "wide" by size.
@@ -183,7 +184,11 @@
 		s.workspaces[workspace] = &catalog.Workspace{Name: workspace}
 		s.granted[workspace] = make([]float64, len(s.reports))
 	}
-	c := &call{request: &http.Request{}, service: simService, workspace: s.workspaces[workspace], route: simRoute, headers: headers}
+	route := simRoute
+	if own := s.routes[workspace]; own != nil {
+		route = own
+	}
+	c := &call{request: &http.Request{}, service: simService, workspace: s.workspaces[workspace], route: route, headers: headers}
 	c.deadline = s.now.Add(15 * time.Second)
 	a := p.assign(s.now, c)
 	if workspace == "wide" {
