--- a/gateway/confinement_test.go
+++ b/gateway/confinement_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"bytes"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -125,3 +129,24 @@
 	assert.Equal(t, 3*time.Second, p.freeIn(now, c))
 	assert.Zero(t, p.freeIn(now, confinedCall(service, workspaces["any"])))
 }
+
+// A configuration in which one route excludes many workspaces must not fill the log, nor be
+// reported again with each change of the upstreams.
+func TestRegionFaultsAreLoggedOnce(t *testing.T) {
+	routes := []*catalog.Route{{Name: "r", Host: "h", Regions: []string{"here"}}}
+	keys := map[string]*catalog.Workspace{}
+	for i := range maxRegionFaultLines + 5 {
+		name := fmt.Sprint("w", i)
+		keys[name] = &catalog.Workspace{Name: name, Regions: []string{"there"}}
+	}
+	var logged bytes.Buffer
+	faults := &regionFaults{logger: log.New(&logged), deployed: func(string) bool { return true }}
+	table := catalog.NewTable(1, routes, nil, keys, catalog.Limits{}, true)
+	for range 2 {
+		faults.check(table)
+		assert.Equal(t, maxRegionFaultLines+1, strings.Count(logged.String(), "\n"))
+		assert.EqualValues(t, maxRegionFaultLines+5, faults.count.Load())
+	}
+	faults.check(catalog.NewTable(2, nil, nil, nil, catalog.Limits{}, true))
+	assert.Zero(t, faults.count.Load())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,6 +143,7 @@
 	m.gauge("lacewing_parts_suspected", func() float64 { suspected, _ := g.pools.quarantineCounts(); return float64(suspected) })
 	m.gauge("lacewing_parts_barred", func() float64 { _, barred := g.pools.quarantineCounts(); return float64(barred) })
 	g.pools.addColdGauges(m)
+	m.gauge("lacewing_region_faults", func() float64 { return float64(g.regionFaults.count.Load()) })
 	m.gauge("lacewing_routers_ready", func() float64 { return float64(len(g.exchange.ready())) })
 }
 
--- a/gateway/regions.go
+++ b/gateway/regions.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -65,11 +66,12 @@
 }
 
 // regionFaults writes the region faults of configurations to the log. It is not safe for
-// concurrent use.
+// concurrent use, but for its count.
 type regionFaults struct {
 	logger   *log.Logger
 	deployed func(region string) bool
 	checked  *catalog.Table // the latest one
+	count    atomic.Int64   // of faults in checked; may be read at any time
 }
 
 // check writes a line for each route and workspace of a configuration, unless it is the
@@ -80,6 +82,7 @@
 	}
 	f.checked = table
 	faults := table.RegionFaults(f.deployed)
+	f.count.Store(int64(len(faults)))
 	for _, fault := range faults[:min(len(faults), maxRegionFaultLines)] {
 		f.logger.Warn("requests are refused, no data centre in a permitted region", "config", table.Version,
 			"route", fault.Route, "workspace", fault.Workspace, "regions", fault.Regions)
