gateway: evacuations are confirmed after a pause and after a loss of contact

A router that was paused, or that reaches neither the store nor any other router, cannot know of an evacuation. It now sends nothing and is not ready until a live router or the store has confirmed the set it holds. Without any contact it stops after 0.8 of the bound, so that the bound holds; the first report of another router does not suffice, since the set itself arrives later.

A router that knows fewer than two others goes on, as its only neighbour may have ended, and so do routers that still hear each other: they cannot tell a partition from an outage of the store, in which no evacuation can be acknowledged.

The guard's confirmation after a pause covers the evacuations as well; a router that holds none cannot confirm them. A fetched set is in force before it counts as confirmed.

Tests: go test ./gateway -run 'Contact|Paused|LastRouter|Evac|Capacity'.

--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,14 @@
 	logger  *log.Logger
 	applied atomic.Int64 // version in force; 0 before the first one
 	count   atomic.Int64 // of data centres that are evacuated
+
+	mu      sync.Mutex
+	inForce versioned.Evacuations // guarded by mu
+
+	contact contact // guarded by the lock of exchange
+	// unconfirmed is set while the contact is lost, confirming while other routers are
+	// asked.
+	unconfirmed, confirming atomic.Bool
 }
 
 // newEvacuations returns the evacuations of a deployment with the given bound on the time
@@ -29,7 +38,7 @@
 	if bound <= 0 {
 		return nil
 	}
-	return &evacuations{latest: versioned.NewLatest[versioned.Evacuations](), regions: regions, pools: p, logger: logger}
+	return &evacuations{latest: versioned.NewLatest[versioned.Evacuations](), regions: regions, pools: p, logger: logger, contact: contact{bound: bound}}
 }
 
 // version returns the newest known version; 0 if there is none.
@@ -48,8 +57,11 @@
 	return e.latest.Age(now, limit)
 }
 
-// missing reports whether this router has to learn the set before it may serve.
-func (e *evacuations) missing() bool { return e != nil && e.applied.Load() == 0 }
+// missing reports whether this router has to learn the set, or to have it confirmed,
+// before it may serve.
+func (e *evacuations) missing() bool {
+	return e != nil && (e.applied.Load() == 0 || e.unconfirmed.Load())
+}
 
 // addGauge adds the metric of evacuated data centres, if the deployment has evacuations.
 func (e *evacuations) addGauge(m *requestMetrics) {
@@ -76,13 +88,10 @@
 
 // run puts each new version into force until ctx ends, and calls changed afterwards.
 func (e *evacuations) run(ctx context.Context, changed func()) error {
-	inForce := versioned.NewEvacuations()
 	for {
 		next := e.latest.Changed()
-		if current := e.latest.Get(); current.Version > e.applied.Load() {
-			inForce = e.apply(time.Now(), current, inForce)
-			changed()
-		}
+		e.apply(time.Now())
+		changed()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -91,23 +100,29 @@
 	}
 }
 
-// apply puts a version into force in place of the set before, and returns the new set.
-// Names that belong to no data centre of the deployment have no effect.
-func (e *evacuations) apply(now time.Time, current versioned.Snapshot[versioned.Evacuations], before versioned.Evacuations) versioned.Evacuations {
+// apply puts the newest version into force. Names that belong to no data centre of the
+// deployment have no effect.
+func (e *evacuations) apply(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	current := e.latest.Get()
+	if current.Version <= e.applied.Load() {
+		return
+	}
 	set, unknown := current.Value.Known(func(name string) bool { _, exists := e.regions[name]; return exists })
 	e.pools.setEvacuated(now, set.Names())
 	e.count.Store(int64(len(set.Names())))
 	e.applied.Store(current.Version)
-	for _, name := range set.Without(before) {
+	for _, name := range set.Without(e.inForce) {
 		e.logger.Warn("evacuation of a data centre takes effect", "data_centre", name, "region", e.regions[name], "version", current.Version, "source", current.Source)
 	}
-	for _, name := range before.Without(set) {
+	for _, name := range e.inForce.Without(set) {
 		e.logger.Info("evacuation of a data centre ends", "data_centre", name, "region", e.regions[name], "version", current.Version, "source", current.Source)
 	}
 	for _, name := range unknown {
 		e.logger.Warn("ignoring an evacuation of an unknown data centre", "data_centre", name, "version", current.Version)
 	}
-	return set
+	e.inForce = set
 }
 
 // setEvacuated replaces the evacuated data centres. It takes effect at once, also for
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -129,6 +129,7 @@
 	x.logMembership(now)
 	x.mu.Unlock()
 
+	x.stepContact(now, paused)
 	x.transport.SetAddresses(peerAddresses(addresses))
 	for _, m := range messages {
 		x.transport.Send(m.to, peer.PartFleet, m.body)
--- a/gateway/fetch.go
+++ b/gateway/fetch.go
@@ -274,10 +274,8 @@
 	if err := cbor.Unmarshal(body, &held); err != nil {
 		return eris.Wrap(fleet.ErrMessage, err.Error())
 	}
-	if x.evacuations != nil && held.Evacuations > x.evacuations.version() {
-		if err := x.fetchFrom(host, itemEvacuations); err != nil {
-			return err
-		}
+	if err := x.confirmEvacuationsVersion(host, held.Evacuations); err != nil {
+		return err
 	}
 	if held.Config > x.config.Get().Version {
 		if err := x.fetchFrom(host, itemConfig); err != nil {
--- a/gateway/fetch_evacuations.go
+++ b/gateway/fetch_evacuations.go
@@ -47,7 +47,9 @@
 	if err := cbor.Unmarshal(body, &response); err != nil {
 		return eris.Wrap(fleet.ErrMessage, err.Error())
 	}
-	x.evacuations.latest.Update(versioned.NewEvacuations(response.DataCentres...), response.Version, versioned.Peer, time.Now())
+	now := time.Now()
+	x.evacuations.latest.Update(versioned.NewEvacuations(response.DataCentres...), response.Version, versioned.Peer, now)
+	x.evacuations.apply(now) // before the caller takes them for confirmed
 	return nil
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -35,9 +35,11 @@
 	// headers.
 	slowBodyRead = 20 * time.Millisecond
 	// reasonPaused is the reason of refusals after a pause of the process, reasonStops of
-	// those by a stopping router.
-	reasonPaused = "router was paused"
-	reasonStops  = "router stops"
+	// those by a stopping router, reasonEvacuations of those by a router that does not know
+	// which data centres are evacuated.
+	reasonPaused      = "router was paused"
+	reasonStops       = "router stops"
+	reasonEvacuations = "evacuations are not known"
 	// defaultCallerTimeout applies to callers that state no deadline.
 	defaultCallerTimeout = 30 * time.Second
 )
@@ -142,12 +144,8 @@
 		h.refuse(w, c, notReadyRetry, "no configuration known")
 		return false
 	}
-	if h.evacuations.missing() {
-		h.refuse(w, c, notReadyRetry, "evacuations are not known yet")
-		return false
-	}
-	if !h.mayAct() {
-		h.refuse(w, c, notReadyRetry, reasonPaused)
+	if reason := h.mustWait(); reason != "" {
+		h.refuse(w, c, notReadyRetry, reason)
 		return false
 	}
 	if err != nil {
--- a/gateway/readiness.go
+++ b/gateway/readiness.go
@@ -16,3 +16,15 @@
 		g.exchange.setState(fleet.Ready)
 	}
 }
+
+// mustWait returns why the router may not send requests with what it holds, or "" if it
+// may.
+func (h *Handler) mustWait() string {
+	switch {
+	case h.evacuations.missing():
+		return reasonEvacuations
+	case !h.mayAct():
+		return reasonPaused
+	}
+	return ""
+}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -78,8 +78,8 @@
 			h.giveUp(out, c, http.StatusGatewayTimeout, "time is over", 0)
 			return
 		}
-		if !h.mayAct() {
-			h.giveUp(out, c, http.StatusServiceUnavailable, reasonPaused, notReadyRetry)
+		if reason := h.mustWait(); reason != "" {
+			h.giveUp(out, c, http.StatusServiceUnavailable, reason, notReadyRetry)
 			return
 		}
 		if h.turnsAway(c) {
@@ -209,7 +209,7 @@
 	defer watchdog.stop()
 	defer context.AfterFunc(h.exit, func() { cancel(errExits) })()
 
-	permitted := func() bool { return h.mayAct() && !h.turnsAway(c) && h.pools.maySend(time.Now(), c, a) }
+	permitted := func() bool { return h.mustWait() == "" && !h.turnsAway(c) && h.pools.maySend(time.Now(), c, a) }
 	if !permitted() {
 		return classify(ctx, errWithheld, false, false)
 	}
