gateway: a router that takes over the watch goes on to watch evacuations

A router that takes over the watch of the store paused for 2.2 s after each response: others pass its own confirmation back to it, which then looks like that of another watcher.

The watch of evacuations now goes on for 5 s after each takeover, which is longer than the time until the next one. The other kinds keep their calls. A spurious takeover costs four extra watches.

--- a/fake/site/router.go
+++ b/fake/site/router.go
@@ -36,6 +36,8 @@
 	// By default there is one of each.
 	Zone  string
 	Zones map[string]string
+	// EvacuateMs is the bound of evacuations; 0 for a deployment without them.
+	EvacuateMs int
 }
 
 // location returns the data centre of the router and the region of each.
@@ -50,6 +52,10 @@
 func (r Router) Settings() string {
 	zone, zones := r.location()
 	regions, _ := json.Marshal(zones) // strings can be encoded
+	evacuate := ""
+	if r.EvacuateMs > 0 {
+		evacuate = fmt.Sprintf(", evacuate_ms: %d", r.EvacuateMs)
+	}
 	return fmt.Sprintf(`node: %q
 ip: %q
 zone: %s
@@ -58,10 +64,10 @@
 listen: {front: %q, ready: %q, control: %q, directory: %q}
 port_range: [7400, 7415]
 seeds: [%q]
-bounds: {grace_s: %g, ttl_max_s: 5, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58, quota_window_s: 4}
+bounds: {grace_s: %g, ttl_max_s: 5, retry_ratio: 0.2, retry_window_s: 10, retry_slack: 58, quota_window_s: 4%s}
 provider: {address: %q}
 `, r.Name, r.IP, zone, zones[zone], regions, r.CallerAddress(), r.IP+":"+readyPort, r.IP+":"+controlPort, r.LookupAddress(),
-		r.Seed+":"+controlPort, r.Grace.Seconds(), r.Store)
+		r.Seed+":"+controlPort, r.Grace.Seconds(), evacuate, r.Store)
 }
 
 // CallerAddress returns the address that serves requests.
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -77,7 +77,7 @@
 		return
 	}
 	g.exchange.followEvacuations()
-	group.Go(func() error { return g.feed.RunEvacuations(ctx, g.evacuations.latest) })
+	group.Go(func() error { return g.feed.RunEvacuations(ctx, g.evacuations.latest, evacuationWatcher{g.exchange}) })
 	group.Go(func() error {
 		return g.evacuations.run(ctx, func() {
 			g.announceReady()
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -66,6 +66,7 @@
 	// retention holds the upstreams in use.
 	retention     versioned.Retention
 	storeFailedAt time.Time // latest failed call of this router
+	tookOverAt    time.Time // when this router last took over the watch of the store
 
 	wholeMu sync.Mutex
 	// wholeRoster and wholeConfig are compressed when they are first asked for.
@@ -341,7 +342,11 @@
 		return true
 	}
 	takeover := versioned.StaleAfter + min(time.Duration(rank-1)*takeoverStep, maxTakeover)
-	return x.table.ConfirmedAge(now) > takeover
+	takesOver := x.table.ConfirmedAge(now) > takeover
+	if takesOver {
+		x.tookOverAt = now
+	}
+	return takesOver
 }
 
 func (x *exchange) setState(s fleet.State) {
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -27,8 +28,10 @@
 	engines      []*site.Runner
 	plainRunners []*site.Runner
 	routers      []*testRouter
+	storeAddress string            // of routers that start; empty for one of their own
 	zones        map[string]string // region of each data centre; nil for one data centre
 	zone         string            // of routers that start
+	evacuateMs   int               // of routers that start; 0 without evacuations
 	log          io.Writer         // of routers that start
 }
 
@@ -97,7 +100,7 @@
 	r.IP, r.Seed, r.Grace = s.ip(len(s.routers)+1), s.ip(1), 3*time.Second
 	store, err := s.store.AddressFor(r.IP)
 	require.NoError(s.t, err)
-	r.Store, r.Zone, r.Zones = store, s.zone, s.zones
+	r.Store, r.Zone, r.Zones, r.EvacuateMs = cmp.Or(s.storeAddress, store), s.zone, s.zones, s.evacuateMs
 	r.Name = "router-" + r.IP
 	settings, err := platform.ParseSettings([]byte(r.Settings()))
 	require.NoError(s.t, err)
