--- a/coldlimit/coldlimit.go
+++ b/coldlimit/coldlimit.go
@@ -16,7 +16,7 @@
 	rateRatio = 0.85
 	// burst is the number of requests that the holder may send at once. With 1, time in
 	// which no request arrives while a token waits is lost: a holder with 30 requests a
-	// second uses 0.59 of what the upstream can handle, and 0.79 with 2.
+	// second uses 0.59 of what the upstream can handle, and 0.74 with 2.
 	burst = 2
 	// spare is what the holder may send within any second beside the rate. It is below
 	// the burst, so that two holders cannot reach 21 requests.
