coldlimit, versioned: a store that was restored from a copy does not confuse permits

Cause: a restored store issues lower revisions. A permit that this router had just created then looked older than the latest warm time and was replaced without end, a call each 20 ms. Change: what a router has written itself is its permit; only a permit that it reads is compared. Tests: go test ./coldlimit ./versioned pass.

--- a/coldlimit/coldlimit_test.go
+++ b/coldlimit/coldlimit_test.go
@@ -82,6 +82,7 @@
 		"store fails":                 {[]Result{{Outcome: Failed}, {Outcome: Failed}}, Wanted, Create},
 		"read fails":                  {[]Result{{Outcome: Conflict}, {Outcome: Failed}}, Unknown, Read},
 		"left from an earlier period": {[]Result{{Outcome: Conflict}, stored("other", 80), stored("own", 110)}, Held, Replace},
+		"store restored from a copy":  {[]Result{stored("own", 30)}, Held, Create},
 		"own from an earlier period":  {[]Result{{Outcome: Conflict}, stored("own", 80), stored("own", 110)}, Held, Replace},
 		"another replaces it first":   {[]Result{{Outcome: Conflict}, stored("other", 80), {Outcome: Conflict}, stored("third", 110)}, Refused, Read},
 		"removed meanwhile":           {[]Result{{Outcome: Conflict}, stored("other", 80), {Outcome: Missing}}, Wanted, Replace},
--- a/coldlimit/permit.go
+++ b/coldlimit/permit.go
@@ -229,7 +229,7 @@
 	case Done:
 		p.backoff, p.object = 0, r.Stored
 		switch {
-		case belongsToEarlier(r.Stored, u):
+		case c.Kind == Read && belongsToEarlier(r.Stored, u):
 			p.state, p.tryAt = Replacing, now
 		case r.Stored.Holder == holder:
 			p.state = Held
--- a/coldlimit/sim_test.go
+++ b/coldlimit/sim_test.go
@@ -326,7 +326,7 @@
 		return Result{Outcome: Done}
 	}
 	s.revision++
-	c.Permit.Revision = s.revision
+	c.Permit.Revision, c.Permit.Version = s.revision, s.revision
 	s.objects[c.Upstream] = c.Permit
 	if u := s.find(c.Upstream); s.disturbed && !u.writeLost && s.rng.Float64() < 0.3 {
 		u.writeLost = true
