gateway: permits for cold upstreams are read again after the store was restored

Cause: the copy from which a store comes back may lack a permit that a router holds; another router could then hold it as well. Change: with a new era of the store held permits are read before they are used; one that is missing is requested again by the first router in order. Tests: go test ./coldlimit ./versioned, go test -race -run Cold ./gateway ./platform pass.

--- a/coldlimit/permit.go
+++ b/coldlimit/permit.go
@@ -259,8 +259,9 @@
 	}
 }
 
-// Interrupt records that the process was paused: permits that it held may belong to other
-// routers by now, so they are read again before they are used.
+// Interrupt records that the process was paused or the store restored from a copy: permits
+// that this router held may belong to others by now, so they are read again before they
+// are used.
 func (t *Table) Interrupt(now time.Time) {
 	for _, s := range t.spells {
 		if s.permit.state == Held {
--- a/gateway/cold.go
+++ b/gateway/cold.go
@@ -164,6 +164,7 @@
 	logger  *log.Logger
 	metrics *requestMetrics
 	calls   sync.WaitGroup // in progress
+	era     int64          // of the store at the latest step
 }
 
 func (g *Gateway) permitKeeper() *permitKeeper {
@@ -195,6 +196,10 @@
 
 // step makes the calls that are due, and reports whether there is nothing more to do.
 func (k *permitKeeper) step(ctx context.Context) (idle bool) {
+	if era := k.feed.Era(); era != k.era {
+		k.era = era
+		k.pools.interruptCold(time.Now()) // the copy may lack permits
+	}
 	calls, news, idle := k.pools.stepCold(time.Now(), k.ready())
 	for _, n := range news {
 		k.logger.Info("upstream is cold", "upstream", n.Upstream, "service", n.Service, "for", n.Left, "longer", n.Longer)
