coldlimit: a new version of the roster makes no garbage

Cause: each version of the roster copied all upstreams of services with cold limits, 295 KB for 1,500; versions come several a second when upstreams change. Change: the table marks upstreams with the number of the latest list and drops those without it. BenchmarkSetUpstreams: 0.60 ms and no allocations a version (0.83 ms and 295 KB before, both on a busy machine); the table takes 311 KB. Tests: go test ./coldlimit passes.

--- a/coldlimit/coldlimit.go
+++ b/coldlimit/coldlimit.go
@@ -48,8 +48,15 @@
 
 // service holds the upstreams of a service as they were listed last.
 type service struct {
-	limits catalog.ColdLimits
-	known  map[string]catalog.Upstream // by id
+	known map[string]knownUpstream // by id
+	// list is the number of the latest list.
+	list int
+}
+
+// knownUpstream is an upstream with the number of the latest list that has it.
+type knownUpstream struct {
+	catalog.Upstream
+	list int
 }
 
 // spell is a cold period of an instance.
@@ -84,14 +91,13 @@
 func (t *Table) SetUpstreams(now time.Time, name string, limits catalog.ColdLimits, upstreams []catalog.Upstream) (began []Began) {
 	s, listed := t.services[name]
 	if !listed {
-		s = &service{}
+		s = &service{known: make(map[string]knownUpstream, len(upstreams))}
 		t.services[name] = s
 	}
-	s.limits = limits
-	known := make(map[string]catalog.Upstream, len(upstreams))
+	s.list++
 	for _, u := range upstreams {
-		known[u.ID] = u
 		before, seen := s.known[u.ID]
+		s.known[u.ID] = knownUpstream{u, s.list}
 		sameRun := seen && before.SameInstance(u)
 		switch {
 		case u.ColdLeftMs > 0 && !(sameRun && before.ColdReport == u.ColdReport):
@@ -103,12 +109,15 @@
 			began = append(began, t.begin(now, name, limits, u, limits.Start))
 		}
 	}
-	for id := range s.known {
-		if _, remains := known[id]; !remains && t.spells[id] != nil && t.spells[id].service == name {
+	for id, u := range s.known {
+		if u.list == s.list {
+			continue
+		}
+		delete(s.known, id)
+		if current := t.spells[id]; current != nil && current.service == name {
 			t.end(now, id)
 		}
 	}
-	s.known = known
 	return began
 }
 
