platform: permits of cold upstreams after a restore

The version of a permit had the latest era known at that moment, not that of the answer, so that a permit read just before a restore counted as of the new era.

--- a/coldlimit/permit.go
+++ b/coldlimit/permit.go
@@ -112,8 +112,8 @@
 type Call struct {
 	Kind     Kind
 	Upstream string
-	// Permit is the object to write; with Replace and Remove, Revision is that of the
-	// stored one.
+	// Permit is the object to write; with Replace and Remove, Revision and Version are
+	// those of the stored one.
 	Permit Object
 }
 
@@ -191,7 +191,7 @@
 	case Unknown:
 		c.Kind = Read
 	case Replacing:
-		c.Kind, c.Permit.Revision = Replace, s.permit.object.Revision
+		c.Kind, c.Permit.Revision, c.Permit.Version = Replace, s.permit.object.Revision, s.permit.object.Version
 	}
 	return c
 }
--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,7 @@
 	logger  *log.Logger
 	applied atomic.Int64 // version in force; 0 before the first one
 	count   atomic.Int64 // of data centres that are evacuated
+	restore *retainedEvacuations
 }
 
 // newEvacuations returns the evacuations of a deployment with the given bound on the time
@@ -29,7 +31,7 @@
 	if bound <= 0 {
 		return nil
 	}
-	return &evacuations{latest: versioned.NewLatest[versioned.Evacuations](), regions: regions, pools: p, logger: logger}
+	return &evacuations{latest: versioned.NewLatest[versioned.Evacuations](), regions: regions, pools: p, logger: logger, restore: newRetainedEvacuations()}
 }
 
 // version returns the newest known version; 0 if there is none.
@@ -65,6 +67,7 @@
 		return
 	}
 	g.exchange.followEvacuations()
+	g.evacuations.restore.confirmedAt = g.exchange.lastConfirmation
 	group.Go(func() error { return g.feed.RunEvacuations(ctx, g.evacuations.latest) })
 	group.Go(func() error {
 		return g.evacuations.run(ctx, func() {
@@ -77,9 +80,16 @@
 // run puts each new version into force until ctx ends, and calls changed afterwards.
 func (e *evacuations) run(ctx context.Context, changed func()) error {
 	inForce := versioned.NewEvacuations()
+	var retained []string
 	for {
 		next := e.latest.Changed()
-		if current := e.latest.Get(); current.Version > e.applied.Load() {
+		current := e.latest.Get()
+		before := retained
+		current.Value, retained = e.restore.update(time.Now(), current)
+		if current.Version > e.applied.Load() || !slices.Equal(before, retained) {
+			for _, name := range slices.DeleteFunc(slices.Clone(retained), func(name string) bool { return slices.Contains(before, name) }) {
+				e.logger.Warn("evacuation that a restored store lacks stays in force", "data_centre", name, "for", evacuationGrace, "version", current.Version)
+			}
 			inForce = e.apply(time.Now(), current, inForce)
 			changed()
 		}
@@ -87,6 +97,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-next:
+		case <-e.restore.wait(retained):
 		}
 	}
 }
--- a/gateway/fetch_evacuations.go
+++ b/gateway/fetch_evacuations.go
@@ -18,6 +18,10 @@
 type evacuationsResponse struct {
 	Version     int64    `cbor:"1,keyasint"`
 	DataCentres []string `cbor:"2,keyasint,omitempty"`
+	// Retained holds those that a restored store lacks and that stay in force for RetainedMs
+	// milliseconds.
+	Retained   []string `cbor:"3,keyasint,omitempty"`
+	RetainedMs int64    `cbor:"4,keyasint,omitempty"`
 }
 
 // followEvacuations makes confirmations of the store count only if they cover the
@@ -47,7 +51,9 @@
 	if err := cbor.Unmarshal(body, &response); err != nil {
 		return eris.Wrap(fleet.ErrMessage, err.Error())
 	}
-	x.evacuations.latest.Update(versioned.NewEvacuations(response.DataCentres...), response.Version, versioned.Peer, time.Now())
+	now := time.Now()
+	x.evacuations.restore.adopt(now, response.Retained, time.Duration(response.RetainedMs)*time.Millisecond)
+	x.evacuations.latest.Update(versioned.NewEvacuations(response.DataCentres...), response.Version, versioned.Peer, now)
 	return nil
 }
 
@@ -57,5 +63,9 @@
 		return nil, eris.New("no evacuations known")
 	}
 	current := x.evacuations.latest.Get()
-	return cbor.Marshal(evacuationsResponse{Version: current.Version, DataCentres: current.Value.Names()})
+	response := evacuationsResponse{Version: current.Version, DataCentres: current.Value.Names()}
+	if retained, left := x.evacuations.restore.retained(time.Now()); len(retained) > 0 {
+		response.Retained, response.RetainedMs = retained, left.Milliseconds()
+	}
+	return cbor.Marshal(response)
 }
--- a/gateway/inuse.go
+++ b/gateway/inuse.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// lastConfirmation returns when the store last confirmed its versions to any router.
+func (x *exchange) lastConfirmation(now time.Time) time.Time {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return now.Add(-x.confirmedAge(now))
+}
+
 // use sets the latest roster and returns the upstreams to use.
 func (x *exchange) use(now time.Time, latest versioned.Snapshot[*versioned.Roster]) *versioned.Roster {
 	x.mu.Lock()
@@ -41,6 +48,7 @@
 	if x.retention.Roster() != nil && era > x.usedEra {
 		x.logger.Warn("store was restored from a copy", "era", era, "old", x.usedEra, "version", latest.Version)
 		x.retention.Restore(now)
+		x.pools.interruptCold(now) // the permits that it held may be lost
 	}
 	x.usedEra = max(era, x.usedEra)
 	usable, news := x.departures.Filter(now, era, latest.Value)
--- a/versioned/names.go
+++ b/versioned/names.go
@@ -57,6 +57,29 @@
 	return ended
 }
 
+// Adopt keeps names in force until a time though the store does not list them, because
+// another router does.
+func (n *Names) Adopt(names []string, until time.Time) {
+	for _, name := range names {
+		if n.listed[name] {
+			continue
+		}
+		if n.retained == nil {
+			n.retained = map[string]bool{}
+		}
+		n.retained[name] = true
+		if until.After(n.graceEnd) {
+			n.graceEnd = until
+		}
+	}
+}
+
+// Known reports whether the store has listed the names.
+func (n *Names) Known() bool { return n.known }
+
+// GraceLeft returns for how long retained names stay in force at least.
+func (n *Names) GraceLeft(now time.Time) time.Duration { return max(n.graceEnd.Sub(now), 0) }
+
 // InForce returns the names in force, sorted.
 func (n *Names) InForce() []string {
 	all := maps.Clone(n.listed)
