--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -161,3 +161,31 @@
 	background.Wait()
 	assert.GreaterOrEqual(t, s.store.Era(), int64(4))
 }
+
+// An evacuation that the copy lacks must stay in force at all routers until it is written
+// again, also at one that has started meanwhile.
+func TestEvacuationOutlastsARestore(t *testing.T) {
+	s := newSite(t, 0, 0)
+	s.store.UseEras(1)
+	s.zones, s.zone, s.evacuate = map[string]string{"a": "r", "b": "r"}, "a", 5*time.Second
+	for i, zone := range []string{"a", "b"} {
+		s.plainRunners = append(s.plainRunners, s.runner(150+i, &site.Runner{ID: "p-" + zone, Service: site.PlainService, Zone: zone, WorkTime: 5 * time.Millisecond}))
+	}
+	for range 3 {
+		s.start(true)
+	}
+	c := s.store.TakeCopy()
+	s.store.Put("evacuations", "a", map[string]any{})
+	time.Sleep(time.Second) // until it is in force everywhere
+	require.Zero(t, s.askAll(300*time.Millisecond, served(t))["p-a"])
+	s.store.Restore(c)
+	time.Sleep(500 * time.Millisecond) // until the routers know
+	require.Empty(t, s.store.Names("evacuations"))
+	s.start(true)
+	assert.Zero(t, s.askAll(3*time.Second, served(t))["p-a"], "before it is written again")
+	s.store.Put("evacuations", "a", map[string]any{})
+	time.Sleep(500 * time.Millisecond)
+	s.store.Delete("evacuations", "a")
+	time.Sleep(time.Second)
+	assert.NotZero(t, s.askAll(2*time.Second, served(t))["p-a"], "after it was withdrawn")
+}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -30,6 +30,7 @@
 	zones        map[string]string // region of each data centre; nil for one data centre
 	zone         string            // of routers that start
 	log          io.Writer         // of routers that start
+	evacuate     time.Duration     // bound on evacuations of routers that start; 0 for none
 }
 
 type testRouter struct {
@@ -101,6 +102,7 @@
 	r.Name = "router-" + r.IP
 	settings, err := platform.ParseSettings([]byte(r.Settings()))
 	require.NoError(s.t, err)
+	settings.Bounds.Evacuate = s.evacuate
 	g, err := gateway.New(settings, gateway.Options{}, log.New(s.log))
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
