--- a/fake/site/restore.go
+++ b/fake/site/restore.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
@@ -95,3 +96,24 @@
 		r.register()
 	}
 }
+
+// Spec returns the spec of an object, nil if there is none.
+func (s *Store) Spec(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.objects[kind][name]; o != nil {
+		return o.Spec
+	}
+	return nil
+}
+
+// PutUnless writes an object as the operator does, unless the current spec, nil if there is
+// none, is to stay.
+func (s *Store) PutUnless(kind, name string, spec json.RawMessage, stays func(current json.RawMessage) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o := s.objects[kind][name]; o != nil && stays(o.Spec) {
+		return
+	}
+	s.write(kind, name, spec)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -79,14 +79,17 @@
 	deadlyLog := &outcomeLog{}
 	deadlyCtx, stopDeadly := context.WithCancel(ctx)
 	callers.Go(func() { d.runDeadlyCaller(deadlyCtx, deadlyLog, seed) })
+	restorer := newRestorer(d, seed)
 	injector := &injector{d: d, rng: rand.New(rand.NewPCG(seed, 99))}
 	d.setDeadlyPart(deadlyPart)
+	restorer.beside(injector, duration)
 	injector.run(duration)
 	d.setDeadlyPart("")
 	stopDeadly()
 	faultsEnded := time.Now()
 	assert.Eventually(t, d.allReady, recoveryLimit, 50*time.Millisecond, "routers must be ready again")
 	time.Sleep(2 * time.Second)
+	restorer.inCalm(injector)
 	injector.revoke()
 	drained := injector.drain()
 	stop()
@@ -94,6 +97,7 @@
 	checkOutcomes(t, d, injector.revocation.allowed(soundLog.all()), faultsEnded)
 	injector.revocation.check(t, d, soundLog.all())
 	checkRequests(t, d, soundLog.all(), injector.disturbed)
+	restorer.check(t, soundLog.all())
 	checkCrashes(t, d, deadlyLog.all(), injector.disturbed)
 	for _, r := range drained {
 		delay := r.LastStart().Sub(injector.drainedAt)
