--- a/versioned/cold.go
+++ b/versioned/cold.go
@@ -12,7 +12,7 @@
 type ColdReports struct {
 	// version is that of the latest complete list or change.
 	version int64
-	ends     map[string]time.Time // of the reports in the roster, by upstream
+	ends    map[string]time.Time // of the reports in the roster, by upstream
 }
 
 // NewColdReports returns a value that has seen no entries.
--- a/versioned/departures.go
+++ b/versioned/departures.go
@@ -41,15 +41,19 @@
 }
 
 // Filter returns a listed roster without the entries that must not be used, and those of them
-// that the Filter before did not leave out. Instances that have left in an earlier era are not used again unless their entry was
-// written since, or they have started later.
+// that the Filter before did not leave out. Instances that have left in an earlier era are
+// not used again unless their entry was written since, or they have started later.
 func (d *Departures) Filter(now time.Time, era int64, listed *Roster) (usable *Roster, news []catalog.Upstream) {
 	d.begin(now, era)
+	if !now.Before(d.restoredAt.Add(heldTime)) {
+		d.held = nil
+		return listed, nil
+	}
 	before := d.held
 	d.held = map[string]int64{}
 	used := make([]catalog.Upstream, 0, len(listed.byID))
 	for _, u := range listed.All() {
-		if !d.isHeld(now, u) {
+		if !d.isHeld(u) {
 			used = append(used, u)
 			continue
 		}
@@ -77,8 +81,8 @@
 
 // isHeld reports whether an entry of an instance that has left is of the time before the
 // restore.
-func (d *Departures) isHeld(now time.Time, u catalog.Upstream) bool {
-	if u.Draining || !now.Before(d.restoredAt.Add(heldTime)) {
+func (d *Departures) isHeld(u catalog.Upstream) bool {
+	if u.Draining {
 		return false
 	}
 	if d.inUse != nil {
