--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,9 +23,11 @@
 	logger  *log.Logger
 	applied atomic.Int64 // version in force; 0 before the first one
 	count   atomic.Int64 // of data centres that are evacuated
+	restore *retainedEvacuations
 
-	mu      sync.Mutex
-	inForce versioned.Evacuations // guarded by mu
+	mu       sync.Mutex
+	inForce  versioned.Evacuations // guarded by mu
+	retained []string              // those that a restored store lacks; guarded by mu
 
 	contact contact // guarded by the lock of exchange
 	// unconfirmed is set while the contact is lost, confirming while other routers are
@@ -38,7 +41,10 @@
 	if bound <= 0 {
 		return nil
 	}
-	return &evacuations{latest: versioned.NewLatest[versioned.Evacuations](), regions: regions, pools: p, logger: logger, contact: contact{bound: bound}}
+	return &evacuations{
+		latest: versioned.NewLatest[versioned.Evacuations](), regions: regions, pools: p, logger: logger,
+		contact: contact{bound: bound}, restore: newRetainedEvacuations(),
+	}
 }
 
 // version returns the newest known version; 0 if there is none.
@@ -77,6 +83,7 @@
 		return
 	}
 	g.exchange.followEvacuations()
+	g.evacuations.restore.confirmedAt = g.exchange.lastConfirmation
 	group.Go(func() error { return g.feed.RunEvacuations(ctx, g.evacuations.latest, evacuationWatcher{g.exchange}) })
 	group.Go(func() error {
 		return g.evacuations.run(ctx, func() {
@@ -90,25 +97,40 @@
 func (e *evacuations) run(ctx context.Context, changed func()) error {
 	for {
 		next := e.latest.Changed()
-		e.apply(time.Now())
+		retained := e.apply(time.Now())
 		changed()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-next:
+		case <-e.restore.wait(retained):
 		}
 	}
 }
 
-// apply puts the newest version into force. Names that belong to no data centre of the
-// deployment have no effect.
-func (e *evacuations) apply(now time.Time) {
+// apply puts the newest version into force, and returns the evacuations that stay in force
+// although a restored store lacks them.
+func (e *evacuations) apply(now time.Time) (retained []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	current := e.latest.Get()
-	if current.Version <= e.applied.Load() {
-		return
+	current.Value, retained = e.restore.update(now, current)
+	if current.Version <= e.applied.Load() && slices.Equal(e.retained, retained) {
+		return retained
+	}
+	for _, name := range retained {
+		if !slices.Contains(e.retained, name) {
+			e.logger.Warn("evacuation that a restored store lacks stays in force", "data_centre", name, "for", evacuationGrace, "version", current.Version)
+		}
 	}
+	e.retained = retained
+	e.enforce(now, current)
+	return retained
+}
+
+// enforce replaces the set in force. Names that belong to no data centre of the deployment
+// have no effect. The caller must hold mu.
+func (e *evacuations) enforce(now time.Time, current versioned.Snapshot[versioned.Evacuations]) {
 	set, unknown := current.Value.Known(func(name string) bool { _, exists := e.regions[name]; return exists })
 	e.pools.setEvacuated(now, set.Names())
 	e.count.Store(int64(len(set.Names())))
