peer: what hosts that are not known can make a router hold is bounded

Cause: any host could open connections to the address between routers, 512 streams on each, and announce a message of 1 MB on each of them, for which the buffer was made at once. Links to such hosts never ended. Buffers grow with what arrives. A link to an unknown host ends with its connection. Ruled out: refusing unknown hosts; a router that has just started is one.

--- a/crowd/router_test.go
+++ b/crowd/router_test.go
@@ -39,15 +39,15 @@
 	answerLimit    = 15 * time.Second
 )
 
-var binary string // the router
+var routerBinary string // the router
 
 func TestMain(m *testing.M) {
 	folder, err := os.MkdirTemp("", "lacewing-crowd")
 	if err != nil {
 		panic(err) // no test can run without the binary
 	}
-	binary = filepath.Join(folder, "lacewingd")
-	if out, err := exec.Command("go", "build", "-o", binary, "../cmd/lacewingd").CombinedOutput(); err != nil {
+	routerBinary = filepath.Join(folder, "lacewingd")
+	if out, err := exec.Command("go", "build", "-o", routerBinary, "../cmd/lacewingd").CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build lacewingd: %v\n%s", err, out))
 	}
 	code := m.Run()
@@ -120,7 +120,7 @@
 func (r *router) start(settings string) {
 	log, err := os.Create(r.log)
 	require.NoError(r.t, err)
-	r.process = exec.Command(binary, "serve", "-metrics", r.metricsAddress())
+	r.process = exec.Command(routerBinary, "serve", "-metrics", r.metricsAddress())
 	r.process.Env = []string{platform.SettingsFileVariable + "=" + settings}
 	r.process.Stdout, r.process.Stderr = log, log
 	r.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a test that is killed leaves no router
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -15,6 +16,10 @@
 // configuration, which the object API limits to 1 MB.
 const MaxFrameBytes = 1<<20 + 1<<16
 
+// firstFrameBuffer is the largest buffer that is made for a message before it arrives, in
+// bytes.
+const firstFrameBuffer = 4 << 10
+
 // frame is one message on a stream, preceded by its encoded length as a varint.
 type frame struct {
 	_    struct{} `cbor:",toarray"`
@@ -41,6 +46,12 @@
 }
 
 func readFrame(r *bufio.Reader) (frame, error) {
+	return readAdmittedFrame(r, func(int64) (func(), error) { return func() {}, nil })
+}
+
+// readAdmittedFrame reads a frame. admit decides by its size in bytes whether it may be read,
+// and returns what has to be called after it was.
+func readAdmittedFrame(r *bufio.Reader, admit func(size int64) (func(), error)) (frame, error) {
 	var f frame
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
@@ -49,11 +60,18 @@
 	if size > MaxFrameBytes {
 		return f, ErrTooLarge
 	}
-	encoded := make([]byte, size)
-	if _, err := io.ReadFull(r, encoded); err != nil {
+	done, err := admit(int64(size))
+	if err != nil {
+		return f, err
+	}
+	defer done()
+	// A peer may announce more than it sends.
+	var encoded bytes.Buffer
+	encoded.Grow(int(min(size, firstFrameBuffer)))
+	if _, err := io.CopyN(&encoded, r, int64(size)); err != nil {
 		return f, err
 	}
-	if err := cbor.Unmarshal(encoded, &f); err != nil {
+	if err := cbor.Unmarshal(encoded.Bytes(), &f); err != nil {
 		return f, eris.Wrap(errMalformedFrame, err.Error())
 	}
 	return f, nil
--- a/peer/link.go
+++ b/peer/link.go
@@ -18,6 +18,7 @@
 	quic  *QUIC
 	host  string
 	queue chan frame
+	end   context.CancelFunc // ends run
 
 	mu       sync.Mutex
 	conn     *quic.Conn       // nil before the first connection and after reset
@@ -192,6 +193,13 @@
 	l.stream = nil
 }
 
+// uses reports whether the link has no connection other than conn.
+func (l *link) uses(conn *quic.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn == nil || l.conn == conn
+}
+
 // reset closes the connection. The next message dials a new one, without waiting for
 // redialInterval.
 func (l *link) reset() {
--- a/peer/quic.go
+++ b/peer/quic.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/tls"
 	"crypto/x509"
-	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -76,6 +75,9 @@
 	// sent counts the body bytes of one-way messages by part.
 	sent [len(partNames)]atomic.Int64
 
+	strangers     atomic.Int64 // connections of strangers
+	strangerBytes atomic.Int64 // of large messages of strangers that are being read
+
 	mu        sync.Mutex
 	addresses map[string]Address // by host id
 	links     map[string]*link   // by host id
@@ -105,7 +107,7 @@
 
 // Start starts to accept connections, until Close.
 func (q *QUIC) Start() error {
-	listener, err := q.transport.Listen(q.serverTLS(), q.quicConfig())
+	listener, err := q.transport.Listen(q.serverTLS(), &quic.Config{GetConfigForClient: q.configFor, HandshakeIdleTimeout: handshakeTimeout})
 	if err != nil {
 		return eris.Wrap(err, "listen for peers")
 	}
@@ -232,9 +234,10 @@
 
 // newLink creates and starts the link to a host. The caller must hold mu.
 func (q *QUIC) newLink(host string) *link {
-	l := &link{quic: q, host: host, queue: make(chan frame, queueLength)}
+	ctx, end := context.WithCancel(q.ctx)
+	l := &link{quic: q, host: host, queue: make(chan frame, queueLength), end: end}
 	q.links[host] = l
-	q.wg.Go(func() { l.run(q.ctx) })
+	q.wg.Go(func() { l.run(ctx) })
 	return l
 }
 
@@ -250,6 +253,10 @@
 			_ = conn.CloseWithError(0, "certificate names no host")
 			continue
 		}
+		if !q.admitStranger(conn) {
+			_ = conn.CloseWithError(0, "too many hosts that are not known")
+			continue
+		}
 		q.mu.Lock()
 		l := q.links[host]
 		if l == nil && q.ctx.Err() == nil {
@@ -259,7 +266,10 @@
 		if l != nil {
 			l.adopt(conn)
 		}
-		q.wg.Go(func() { q.serve(host, conn) })
+		q.wg.Go(func() {
+			q.serve(host, conn)
+			q.dropLink(host, conn)
+		})
 	}
 }
 
@@ -272,7 +282,7 @@
 			if err != nil {
 				return
 			}
-			q.wg.Go(func() { q.answer(host, stream) })
+			q.wg.Go(func() { q.answer(host, conn, stream) })
 		}
 	})
 	for {
@@ -280,15 +290,16 @@
 		if err != nil {
 			return
 		}
-		q.wg.Go(func() { q.receive(host, stream) })
+		q.wg.Go(func() { q.receive(host, conn, stream) })
 	}
 }
 
-func (q *QUIC) receive(host string, stream io.Reader) {
+func (q *QUIC) receive(host string, conn *quic.Conn, stream *quic.ReceiveStream) {
 	reader := bufio.NewReader(stream)
 	for {
-		f, err := readFrame(reader)
+		f, err := readAdmittedFrame(reader, q.admitFrame(conn, stream))
 		if err != nil {
+			stream.CancelRead(0)
 			return
 		}
 		q.clock.Observe(f.At)
@@ -299,9 +310,9 @@
 }
 
 // answer reads one request and sends the answer of its handler.
-func (q *QUIC) answer(host string, stream *quic.Stream) {
+func (q *QUIC) answer(host string, conn *quic.Conn, stream *quic.Stream) {
 	defer stream.Close()
-	request, err := readFrame(bufio.NewReader(stream))
+	request, err := readAdmittedFrame(bufio.NewReader(stream), q.admitFrame(conn, stream))
 	if err != nil {
 		stream.CancelRead(0)
 		return
