gateway: one budget bounds what callers hold, on all listeners

Cause: nothing bounded connections, heads and unread answers; a crowd of 700 took 193 MB and 1,417 descriptors of a router with 96 MB and 256. A refusal waited for the rest of the body without end, a body for itself; heads and idle connections had the code's own limits. Change: connections of callers, lookup, readiness and metrics report to package ledger what they hold, heads while they are read; connections it names are closed. memory.go charges the same account, in place of a limit of its own. Heads and idle connections have the limits of the configuration, bodies the request's deadline (408), the rest of a refused request 500 ms, each 4 KB of an answer limits.caller_write_ms (reset). Settings caller_memory_mb, caller_fds, caller_write_ms with ranges; a counter by kind, bounded log lines. A head without spaces after its colons is no longer counted as larger than it is (431 within the limit).

--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,8 @@
 FUZZTIME ?= 10s
 FUZZ := peer:FuzzReadFrame cell:FuzzReceive cell:FuzzReceiveValues reply:FuzzResumeToken \
 	entry:FuzzHandler settings:FuzzParse intent:FuzzHandle config:FuzzParse member:FuzzReceive \
-	platform:FuzzSettings platform:FuzzConfig platform:FuzzList fleet:FuzzDecodeEnvelope
+	platform:FuzzSettings platform:FuzzConfig platform:FuzzList fleet:FuzzDecodeEnvelope \
+	ledger:FuzzHead gateway:FuzzChunkedBody gateway:FuzzConnection
 
 fuzz:
 	@for target in $(FUZZ); do \
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -116,6 +116,9 @@
 	// HeaderBytes and BodyBytes bound the headers and the body of a request.
 	HeaderBytes int
 	BodyBytes   int64
+	// HeaderTimeout is the time in which a head has to arrive from its first byte on, and
+	// IdleTimeout the time for which a connection may have no request.
+	HeaderTimeout, IdleTimeout time.Duration
 	// TokensPerSecond is the capacity of all engines together; a token that is read
 	// counts once, one that is generated twice.
 	TokensPerSecond float64
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -49,8 +48,7 @@
 	stopPollInterval = 25 * time.Millisecond
 
 	// Limits of the router's HTTP servers.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
+	// Those of the time to receive a head and between requests are the guard's.
 	maxHeaderBytes = 64 << 10
 )
 
@@ -77,6 +75,7 @@
 	regionFaults *regionFaults
 	transport    *peer.QUIC
 	handler      *Handler
+	guard        *guard // of what callers hold
 	listeners    []net.Listener
 	intake       *intakeListener // one of listeners, for callers
 	callerServer *http.Server
@@ -121,8 +120,10 @@
 	g.exchange.feed = g.feed
 	exit, giveUp := context.WithCancel(context.Background())
 	g.giveUp = giveUp
+	timeouts := func() callerTimeouts { return timeoutsOf(g.config.Get().Value) }
+	g.guard = newGuard(s, timeouts, metrics, logger.WithPrefix("callers"), options.AdmitLogLine)
 	g.handler = &Handler{
-		exit: exit, memory: newMemoryBudget(s.MemoryLimit),
+		exit:   exit,
 		config: g.config, pools: g.pools, logger: logger.WithPrefix("request"), admitLine: options.AdmitLogLine, metrics: metrics,
 		stopState: g.state, requestArrived: g.requestArrived,
 		routers: func() int { return len(g.exchange.ready()) }, manyConnections: g.manyConnections, mayAct: g.exchange.mayAct, evacuations: g.evacuations, triggerReport: g.exchange.triggerReport, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
@@ -136,6 +137,8 @@
 	m := g.handler.metrics
 	m.gauge("lacewing_requests_in_progress", func() float64 { return float64(g.handler.inProgress.Load()) })
 	m.gauge("lacewing_caller_connections", func() float64 { return float64(g.openConnections.Load()) })
+	m.gauge("lacewing_callers_held_bytes", func() float64 { held, _ := g.guard.held(); return float64(held.Bytes) })
+	m.gauge("lacewing_callers_held_descriptors", func() float64 { held, _ := g.guard.held(); return float64(held.Descriptors) })
 	m.gauge("lacewing_config_version", func() float64 { return float64(g.config.Get().Version) })
 	m.gauge("lacewing_store_calls", func() float64 { return float64(g.store.Calls()) })
 	m.gauge("lacewing_store_era", func() float64 { return float64(g.feed.Era()) })
@@ -170,75 +173,6 @@
 	return nil
 }
 
-func (g *Gateway) listen(options Options) error {
-	g.callerServer = newServer(g.handler)
-	g.callerServer.ConnState = g.countConnection
-	g.callerServer.ConnContext = withConnection
-	if err := g.serveCallers(); err != nil {
-		return err
-	}
-	ready := platform.ReadyHandler(g.ready)
-	lookup := platform.LookupHandler(g.lookup)
-	servers := []struct {
-		address string
-		handler http.Handler
-	}{
-		{g.settings.ReadyAddress, ready},
-		{g.settings.LookupAddress, lookup},
-		{options.MetricsAddress, g.handler.metrics},
-	}
-	for _, server := range servers {
-		if server.address == "" {
-			continue
-		}
-		if err := g.serveOn(server.address, newServer(server.handler)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func newServer(handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
-}
-
-// serveOn listens and serves in the background until the server or the listener
-// closes. Errors: ErrListen.
-func (g *Gateway) serveOn(address string, server *http.Server) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return eris.Wrapf(ErrListen, "%s: %v", address, err)
-	}
-	g.otherServers = append(g.otherServers, server)
-	g.serve(listener, server)
-	return nil
-}
-
-// serveCallers listens on the address for callers and serves it in the background.
-// Errors: ErrListen.
-func (g *Gateway) serveCallers() error {
-	intake, err := listenIntake(g.settings.CallerAddress)
-	if err != nil {
-		return err
-	}
-	g.intake = intake
-	g.serve(intake, g.callerServer)
-	return nil
-}
-
-// serve serves on a listener in the background until the server or the listener
-// closes.
-func (g *Gateway) serve(listener net.Listener, server *http.Server) {
-	g.listeners = append(g.listeners, listener)
-	go func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-			g.logger.Error("listener failed", "address", listener.Addr(), "err", err)
-		}
-	}()
-}
-
 // manyConnections reports whether callers hold a large part of the descriptors.
 func (g *Gateway) manyConnections() bool {
 	limit := openConnectionsRatio * float64(g.settings.FileLimit)
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,8 @@
 	// those by a stopping router.
 	reasonPaused = "router was paused"
 	reasonStops  = "router stops"
+	// firstBodyBuffer is the largest buffer that is made for a body before it arrives, in bytes.
+	firstBodyBuffer = 16 << 10
 	// defaultCallerTimeout applies to callers that state no deadline.
 	defaultCallerTimeout = 30 * time.Second
 )
@@ -68,7 +71,6 @@
 	// exit ends when the router exits: requests in progress are answered at once.
 	exit context.Context
 
-	memory              *memoryBudget
 	inProgress          atomic.Int64
 	mu                  sync.Mutex // guards the fields below
 	gate                *overload.Gate
@@ -104,11 +106,17 @@
 		return
 	}
 	readStart := time.Now()
-	held := heldMemory{budget: h.memory}
+	connection := connectionOf(r)
+	connection.assign(c.workspaceName())
+	held := heldMemory{connection: connection}
 	defer held.release()
 	if !h.readBody(w, c, &held) {
 		return
 	}
+	if reason := connection.serve(); reason != "" {
+		h.refuse(w, c, placement.Jitter(placement.MinRetryAfter, rand.Float64()), string(reason))
+		return
+	}
 	if time.Since(readStart) > slowBodyRead {
 		h.abortIfCallerLeft(c)
 	}
@@ -194,8 +202,11 @@
 func (h *Handler) readBody(w http.ResponseWriter, c *call, held *heldMemory) bool {
 	limit := h.config.Get().Value.Limits.BodyBytes
 	var body bytes.Buffer
+	if connection := connectionOf(c.request); connection != nil {
+		_ = connection.SetReadDeadline(c.deadline) // an error means that the connection has ended
+	}
 	// A caller may announce more than it sends.
-	body.Grow(int(min(max(c.request.ContentLength, 0), limit, ownMemory)) + bytes.MinRead)
+	body.Grow(int(min(max(c.request.ContentLength, 0), limit, firstBodyBuffer)) + bytes.MinRead)
 	_, err := body.ReadFrom(&heldReader{body: http.MaxBytesReader(w, c.request.Body, limit), held: held})
 	if err == nil {
 		c.body = body.Bytes()
@@ -212,6 +223,11 @@
 		return false
 	}
 	w.Header().Set("Connection", "close")
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.metrics.cutOff(bodyTooSlow)
+		h.reject(w, c, http.StatusRequestTimeout, "body did not arrive in time")
+		return false
+	}
 	h.reject(w, c, http.StatusBadRequest, "body cannot be read: "+err.Error())
 	return false
 }
@@ -291,12 +307,13 @@
 	return c
 }
 
-// headerBytes returns the size of a request's headers on the wire.
+// headerBytes returns the least size of a request's headers on the wire. Spaces beside the
+// values are not known any more.
 func headerBytes(h http.Header) int {
 	size := 0
 	for name, values := range h {
 		for _, value := range values {
-			size += len(name) + len(value) + len(": \r\n")
+			size += len(name) + len(value) + len(":\r\n")
 		}
 	}
 	return size
--- a/gateway/intake.go
+++ b/gateway/intake.go
@@ -29,6 +29,7 @@
 // intakeListener accepts connections as overload.Intake allows.
 type intakeListener struct {
 	net.Listener
+	guard  *guard     // nil admits all connections
 	mu     sync.Mutex // guards intake
 	intake overload.Intake
 	freed  chan struct{} // receives a value after a slot was freed
@@ -92,7 +93,21 @@
 
 // Accept implements net.Listener.
 func (l *intakeListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
+	for {
+		tcp, err := acceptTCP(l.Listener)
+		if err != nil {
+			return nil, err
+		}
+		c := &callerConnection{TCPConn: tcp, listener: l, slot: l.takeSlot(), guard: l.guard}
+		if l.guard.admit(c, false) {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func acceptTCP(listener net.Listener) (*net.TCPConn, error) {
+	connection, err := listener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -100,7 +115,7 @@
 	if !ok {
 		return nil, eris.Errorf("accepted a connection of type %T", connection)
 	}
-	return &callerConnection{TCPConn: tcp, listener: l, slot: l.takeSlot()}, nil
+	return tcp, nil
 }
 
 // takeSlot waits for a slot.
@@ -121,16 +136,11 @@
 	}
 }
 
-// callerConnection is a connection of a caller that holds a slot until its first
-// request is decided about.
-type callerConnection struct {
-	*net.TCPConn
-	listener *intakeListener
-	slot     *overload.Slot // nil once it was freed; guarded by the listener's mutex
-}
-
-// freeSlot frees the slot of the connection, if it still holds one.
+// freeSlot frees the intake slot of the connection, if it still holds one.
 func (c *callerConnection) freeSlot() {
+	if c.listener == nil {
+		return
+	}
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
 	if c.slot == nil {
@@ -144,15 +154,9 @@
 	}
 }
 
-// Close implements net.Conn.
-func (c *callerConnection) Close() error {
-	c.freeSlot()
-	return c.TCPConn.Close()
-}
-
 // freeIntakeSlot frees the slot of a request's connection, if it still holds one.
 func freeIntakeSlot(r *http.Request) {
-	if c, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok {
+	if c := connectionOf(r); c != nil {
 		c.freeSlot()
 	}
 }
--- a/gateway/left.go
+++ b/gateway/left.go
@@ -18,6 +18,12 @@
 	return context.WithValue(ctx, connectionKey{}, connection)
 }
 
+// connectionOf returns the connection of a request, or nil if it is not known.
+func connectionOf(r *http.Request) *callerConnection {
+	c, _ := r.Context().Value(connectionKey{}).(*callerConnection)
+	return c
+}
+
 // callerLeft reports whether the caller of a request has closed its connection. A
 // router that is short of processor time reads requests late, and net/http detects
 // a closed connection only some time after it has read the body.
@@ -34,7 +40,7 @@
 // does not return.
 func breakOff(r *http.Request) {
 	if !r.ProtoAtLeast(1, 1) {
-		if connection, ok := r.Context().Value(connectionKey{}).(*callerConnection); ok {
+		if connection := connectionOf(r); connection != nil {
 			_ = connection.SetLinger(0) // an error means that the connection has ended
 		}
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -88,6 +88,11 @@
 	m.set.GetOrCreateCounter(`lacewing_upstream_crashes_total{service="` + service + `"}`).Inc()
 }
 
+// cutOff counts a connection of a caller that was refused or closed.
+func (m *requestMetrics) cutOff(kind closeKind) {
+	m.set.GetOrCreateCounter(`lacewing_callers_cut_off_total{kind="` + string(kind) + `"}`).Inc()
+}
+
 // responded counts a response of an upstream by its framing.
 func (m *requestMetrics) responded(f framing) {
 	m.set.GetOrCreateCounter(`lacewing_upstream_responses_total{framing="` + string(f) + `"}`).Inc()
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -37,7 +37,7 @@
 	config := versioned.NewLatest[platform.Config]()
 	config.Update(platform.Config{Table: table}, 1, versioned.Store, now)
 	return &Handler{
-		exit: context.Background(), memory: newMemoryBudget(0),
+		exit:   context.Background(),
 		mayAct: func() bool { return true },
 		config: config, pools: p, logger: log.New(io.Discard), admitLine: func() bool { return false }, metrics: newRequestMetrics(),
 		stopState: func() shutdown.State { return shutdown.Serving }, requestArrived: func() {}, manyConnections: func() bool { return false }, upstreamConnections: map[string]*connections{}, gate: overload.NewGate(),
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -61,6 +61,9 @@
 		return result{maybeRan, placement.Failed, "upstream failed in the middle of a stream"}
 	}
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, bufferLimit))
+	held := heldMemory{connection: connectionOf(c.request)}
+	held.force(int64(len(buffered)))
+	defer held.release()
 	watchdog.stop()
 	if err == nil && len(buffered) == bufferLimit {
 		err = ctx.Err() // the watchdog may have ended the attempt just before
@@ -115,7 +118,7 @@
 		return result{maybeRan, placement.Failed, reasonNotTheRest}
 	}
 	var events eventBuffer
-	held := heldMemory{budget: h.memory}
+	held := heldMemory{connection: connectionOf(c.request)}
 	defer held.release()
 	eventsBefore := out.events
 	chunk := make([]byte, streamReadSize)
