--- a/gateway/evacuation.go
+++ b/gateway/evacuation.go
@@ -97,8 +97,10 @@
 func (e *evacuations) run(ctx context.Context, changed func()) error {
 	for {
 		next := e.latest.Changed()
-		retained := e.apply(time.Now())
-		changed()
+		retained, news := e.apply(time.Now())
+		if news {
+			changed()
+		}
 		select {
 		case <-ctx.Done():
 			return nil
@@ -109,14 +111,14 @@
 }
 
 // apply puts the newest version into force, and returns the evacuations that stay in force
-// although a restored store lacks them.
-func (e *evacuations) apply(now time.Time) (retained []string) {
+// although a restored store lacks them, and whether anything has changed.
+func (e *evacuations) apply(now time.Time) (retained []string, changed bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	current := e.latest.Get()
 	current.Value, retained = e.restore.update(now, current)
 	if current.Version <= e.applied.Load() && slices.Equal(e.retained, retained) {
-		return retained
+		return retained, false
 	}
 	for _, name := range retained {
 		if !slices.Contains(e.retained, name) {
@@ -125,7 +127,7 @@
 	}
 	e.retained = retained
 	e.enforce(now, current)
-	return retained
+	return retained, true
 }
 
 // enforce replaces the set in force. Names that belong to no data centre of the deployment
--- a/gateway/restore_test.go
+++ b/gateway/restore_test.go
@@ -167,7 +167,7 @@
 func TestEvacuationOutlastsARestore(t *testing.T) {
 	s := newSite(t, 0, 0)
 	s.store.UseEras(1)
-	s.zones, s.zone, s.evacuate = map[string]string{"a": "r", "b": "r"}, "a", 5*time.Second
+	s.zones, s.zone, s.evacuateMs = map[string]string{"a": "r", "b": "r"}, "a", 5000
 	for i, zone := range []string{"a", "b"} {
 		s.plainRunners = append(s.plainRunners, s.runner(150+i, &site.Runner{ID: "p-" + zone, Service: site.PlainService, Zone: zone, WorkTime: 5 * time.Millisecond}))
 	}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -33,7 +33,6 @@
 	zone         string            // of routers that start
 	evacuateMs   int               // of routers that start; 0 without evacuations
 	log          io.Writer         // of routers that start
-	evacuate     time.Duration     // bound on evacuations of routers that start; 0 for none
 }
 
 type testRouter struct {
@@ -105,7 +104,6 @@
 	r.Name = "router-" + r.IP
 	settings, err := platform.ParseSettings([]byte(r.Settings()))
 	require.NoError(s.t, err)
-	settings.Bounds.Evacuate = s.evacuate
 	g, err := gateway.New(settings, gateway.Options{}, log.New(s.log))
 	require.NoError(s.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
