coldlimit: permits are requested on demand only

Change: a router requests a permit only if a request could have used the cold upstream within the last 0.5 s. Ruled out: leaving permits in the store instead of removing them, which clutters it and saves one call of two.

--- a/coldlimit/coldlimit.go
+++ b/coldlimit/coldlimit.go
@@ -67,6 +67,8 @@
 	until    time.Time
 	permit   permit
 	pace     pace
+	// wantedAt is when a request of this router would last have used the upstream.
+	wantedAt time.Time
 }
 
 // New returns a table without upstreams. holder is an id of this run of the router, which
--- a/coldlimit/coldlimit_test.go
+++ b/coldlimit/coldlimit_test.go
@@ -32,9 +32,10 @@
 	t.SetUpstreams(now, "s", testLimits, upstreams)
 }
 
-// request returns the only call that is due.
+// request returns the only call that is due while a request could use the upstream.
 func request(t *testing.T, table *Table, now time.Time) Call {
 	t.Helper()
+	table.Allows(now, "u")
 	calls := table.Step(now, alone)
 	require.Len(t, calls, 1)
 	return calls[0]
@@ -45,6 +46,16 @@
 	return Result{Outcome: Done, Stored: Object{Holder: holder, StartedMs: 5, Revision: revision, Version: revision}}
 }
 
+// Guards against calls to the store, which are billed, for cold upstreams that no request
+// could use: all upstreams of a deployment that starts are cold before its first request.
+func TestPermitIsRequestedOnDemandOnly(t *testing.T) {
+	table, now := newTable(), testStart
+	table.set(now, upstream(coldReport))
+	assert.Empty(t, table.Step(now, alone))
+	assert.False(t, table.Allows(now, "u"))
+	assert.Len(t, table.Step(now.Add(checkInterval), alone), 1)
+}
+
 // Guards against requests to a cold upstream before this router holds the permit, and
 // against a permit that stays in the store after the period.
 func TestPermitIsRequestedUsedAndRemoved(t *testing.T) {
--- a/coldlimit/permit.go
+++ b/coldlimit/permit.go
@@ -34,6 +34,10 @@
 	checkInterval = 100 * time.Millisecond
 	// readDelay is the time until an object is read whose creation got no response.
 	readDelay = 50 * time.Millisecond
+	// demandWindow is how long a request that a cold upstream could have taken counts as
+	// demand for it. Without demand no permit is requested: all upstreams of a deployment
+	// that starts are cold before its first request.
+	demandWindow = 500 * time.Millisecond
 	// maxReleases bounds the attempts to remove an object. One that remains is replaced
 	// in a later period.
 	maxReleases = 4
@@ -165,7 +169,7 @@
 		if t.releases[id] != nil || now.Before(s.permit.tryAt) {
 			continue
 		}
-		c := t.nextCall(s, ready)
+		c := t.nextCall(now, s, ready)
 		if c.Kind == 0 {
 			s.permit.tryAt = now.Add(checkInterval)
 			continue
@@ -186,11 +190,11 @@
 }
 
 // nextCall returns the call that the state of a permit asks for, the zero value for none.
-func (t *Table) nextCall(s *spell, ready []Router) Call {
+func (t *Table) nextCall(now time.Time, s *spell, ready []Router) Call {
 	c := Call{Upstream: s.upstream.ID, Permit: Object{Holder: t.holder, StartedMs: s.upstream.StartedMs}}
 	switch s.permit.state {
 	case Wanted:
-		if t.first(s.upstream, ready) == t.self.Host {
+		if now.Sub(s.wantedAt) < demandWindow && t.first(s.upstream, ready) == t.self.Host {
 			c.Kind = Create
 		}
 	case Unknown:
--- a/coldlimit/token.go
+++ b/coldlimit/token.go
@@ -13,7 +13,11 @@
 // Allows reports whether one more request may be assigned to an upstream.
 func (t *Table) Allows(now time.Time, id string) bool {
 	s := t.cold(now, id)
-	return s == nil || s.permit.state == Held && s.pace.hasToken(now)
+	if s == nil {
+		return true
+	}
+	s.wantedAt = now
+	return s.permit.state == Held && s.pace.hasToken(now)
 }
 
 // Permits reports whether this router may send at all to an upstream, be it cold or warm.
