ledger: parts of one address and one workspace apply also while nobody else calls

Cause: once a single workspace had filled the budget with requests that are served, a caller of another one could not connect, so that the part never came to apply. Change: one workspace holds at most 0.7 of the budget and one address 0.9, always. The router's own services are exempt, as they are asked from addresses of callers too. Ruled out: a smaller part for addresses; many workspaces may call from one. Tests: ledger with -race; TestOneOwnerHoldsAPart and TestServicesHaveAReserve cover both cases.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -25,9 +25,10 @@
 	// hold on top, and minReservedFiles its least number of descriptors.
 	reserveRatio     = 0.1
 	minReservedFiles = 8
-	// maxCallerPart is the largest part that one address or workspace may hold while others
-	// call.
-	maxCallerPart = 0.7
+	// addressPart and workspacePart are the largest parts that one address and one workspace
+	// may hold. That of an address is larger, as many workspaces may call from one.
+	addressPart   = 0.9
+	workspacePart = 0.7
 	// minStall is the time without minProgress bytes from which a connection may be closed
 	// for others.
 	minStall    = 250 * time.Millisecond
@@ -106,7 +107,7 @@
 	if memory <= 0 {
 		memory = defaultMemory
 	}
-	limits := ledger.Limits{MaxPart: maxCallerPart, MinStall: minStall, MinProgress: minProgress}
+	limits := ledger.Limits{AddressPart: addressPart, WorkspacePart: workspacePart, MinStall: minStall, MinProgress: minProgress}
 	limits.Bytes = int64(callerMemoryRatio * float64(memory))
 	if s.Callers.Memory > 0 {
 		limits.Bytes = s.Callers.Memory
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -29,9 +29,10 @@
 	// Reserve is what connections to the router's own services, such as readiness, may
 	// hold on top.
 	Reserve Usage
-	// MaxPart is the largest part of Usage that one caller address or one workspace may
-	// hold while there are others.
-	MaxPart float64
+	// AddressPart and WorkspacePart are the largest parts of Usage that one caller address
+	// and one workspace may hold. They apply also while there are no others, as these could
+	// not even connect otherwise.
+	AddressPart, WorkspacePart float64
 	// MinStall is the time without progress from which a connection may be closed for
 	// others.
 	MinStall time.Duration
@@ -39,6 +40,15 @@
 	MinProgress int64
 }
 
+// part returns what one owner may hold.
+func (l Limits) part(kind ownerKind) Usage {
+	ratio := l.AddressPart
+	if kind == workspaceOwner {
+		ratio = l.WorkspacePart
+	}
+	return Usage{int64(ratio * float64(l.Bytes)), int(ratio * float64(l.Descriptors))}
+}
+
 // Phase is what a connection does.
 type Phase uint8
 
@@ -63,7 +73,7 @@
 	// Full: nothing can be closed to make room.
 	Full Reason = "router holds as much as it may for callers"
 	// PartTaken: the caller's address or workspace holds its part.
-	PartTaken Reason = "caller holds as much as one may while others call"
+	PartTaken Reason = "caller holds as much as one may"
 )
 
 // ownerKind tells what an owner is.
@@ -174,11 +184,11 @@
 // makePart closes accounts of an owner of a until more fits into the owner's part.
 func (l *Ledger) makePart(now time.Time, a *Account, kind ownerKind, more Usage, closed []*Account) ([]*Account, Reason) {
 	o := a.owners[kind]
-	if o == nil {
+	if o == nil || a.service {
 		return closed, ""
 	}
-	part := Usage{int64(l.limits.MaxPart * float64(l.limits.Bytes)), int(l.limits.MaxPart * float64(l.limits.Descriptors))}
-	for len(l.owners[kind]) > 1 && exceeds(o.used, more, part) {
+	part := l.limits.part(kind)
+	for exceeds(o.used, more, part) {
 		victim := l.victim(now, func(other *Account) bool { return other != a && other.owners[kind] == o })
 		if victim == nil {
 			return closed, PartTaken
