ledger: services of the router and callers take no room from each other

Cause: connections to lookup, readiness and metrics shared the callers' limit and had a reserve on top, so that a crowd there kept what all held above the callers' limit. Change: services have a limit of their own, a fifth of the callers', and only connections of the same kind are closed for one. Callers hold 0.6 of the descriptors in place of 0.7. Tests: ledger with -race; TestServicesTakeNoRoomFromCallers.

--- a/gateway/guard.go
+++ b/gateway/guard.go
@@ -20,10 +20,10 @@
 	// descriptors that callers may hold. The rest is for connections between routers and
 	// to the store, idle connections to upstreams, and garbage that is not collected yet.
 	callerMemoryRatio = 0.25
-	callerFileRatio   = 0.7
-	// reserveRatio is the part of what callers may hold that the router's own services may
-	// hold on top, and minReservedFiles its least number of descriptors.
-	reserveRatio     = 0.1
+	callerFileRatio   = 0.6
+	// reserveRatio is what the router's own services may hold, as a part of what callers may
+	// hold, and minReservedFiles its least number of descriptors.
+	reserveRatio     = 0.2
 	minReservedFiles = 8
 	// addressPart and workspacePart are the largest parts that one address and one workspace
 	// may hold. That of an address is larger, as many workspaces may call from one.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -25,9 +25,9 @@
 
 // Limits bounds what a ledger admits.
 type Limits struct {
-	Usage // of all connections; no descriptors means that they are not limited
+	Usage // of all callers' connections; no descriptors means that they are not limited
 	// Reserve is what connections to the router's own services, such as readiness, may
-	// hold on top.
+	// hold. Neither kind takes room from the other.
 	Reserve Usage
 	// AddressPart and WorkspacePart are the largest parts of Usage that one caller address
 	// and one workspace may hold. They apply also while there are no others, as these could
@@ -111,7 +111,7 @@
 // Ledger holds the accounts of a router.
 type Ledger struct {
 	limits Limits
-	used   Usage
+	used   [2]Usage // of callers' connections, and of those to services
 	count  int
 	owners [ownerKinds]map[string]*owner
 	// queues holds the accounts of each phase that may be closed, those without progress
@@ -132,7 +132,15 @@
 }
 
 // Used returns what all connections hold and their number.
-func (l *Ledger) Used() (Usage, int) { return l.used, l.count }
+func (l *Ledger) Used() (Usage, int) { return l.used[0].plus(l.used[1]), l.count }
+
+// usedLike returns what all connections of the same kind as a hold.
+func (l *Ledger) usedLike(a *Account) *Usage {
+	if a.service {
+		return &l.used[1]
+	}
+	return &l.used[0]
+}
 
 // Open adds the account of a new connection that holds the given usage. service tells that
 // it uses a service of the router's own. The returned accounts have to be closed to make
@@ -189,7 +197,7 @@
 	}
 	part := l.limits.part(kind)
 	for exceeds(o.used, more, part) {
-		victim := l.victim(now, func(other *Account) bool { return other != a && other.owners[kind] == o })
+		victim := l.victim(now, func(other *Account) bool { return other != a && other.owners[kind] == o && !other.service })
 		if victim == nil {
 			return closed, PartTaken
 		}
@@ -203,13 +211,13 @@
 func (l *Ledger) makeRoom(now time.Time, a *Account, more Usage, closed []*Account) ([]*Account, Reason) {
 	limit := l.limits.Usage
 	if a.service {
-		limit = limit.plus(l.limits.Reserve)
+		limit = l.limits.Reserve
 	}
 	if l.limits.Descriptors == 0 {
 		limit.Descriptors = 0
 	}
-	for exceeds(l.used, more, limit) {
-		victim := l.victim(now, func(other *Account) bool { return other != a })
+	for exceeds(*l.usedLike(a), more, limit) {
+		victim := l.victim(now, func(other *Account) bool { return other != a && other.service == a.service })
 		if victim == nil {
 			return closed, Full
 		}
@@ -285,7 +293,8 @@
 	for kind := range a.owners {
 		l.setOwner(a, ownerKind(kind), "")
 	}
-	l.used = l.used.minus(a.Used)
+	used := l.usedLike(a)
+	*used = used.minus(a.Used)
 	l.count--
 	a.Closed = true
 }
@@ -293,7 +302,8 @@
 // add changes what an account and its owners hold.
 func (l *Ledger) add(a *Account, more Usage) {
 	a.Used = a.Used.plus(more)
-	l.used = l.used.plus(more)
+	used := l.usedLike(a)
+	*used = used.plus(more)
 	for _, o := range a.owners {
 		if o != nil {
 			o.used = o.used.plus(more)
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// A crowd at readiness or lookup must not keep out callers, whose limit is lower than what both
+// may hold together.
+func TestServicesTakeNoRoomFromCallers(t *testing.T) {
+	l := New(limits)
+	for i, reason := 0, Reason(""); reason == ""; i++ {
+		_, _, reason = l.Open(start, fmt.Sprint(i), true, base)
+	}
+	for i := range 200 {
+		_, closed, reason := l.Open(start.Add(time.Second), fmt.Sprint(i), false, base)
+		require.Empty(t, reason)
+		require.Empty(t, closed)
+	}
+}
+
 // An account that was closed must hold nothing, whatever its connection still does.
 func TestClosedAccountsHoldNothing(t *testing.T) {
 	l, rng := New(limits), rand.New(rand.NewPCG(2, 2))
