gateway: a failure of the test of expired upstreams names the refusal

It failed twice in whole runs at a load of about 20 with 503 in place of 200, without saying which refusal.

--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -68,7 +68,8 @@
 		for range 12 {
 			group.Go(func() error {
 				q := request{path: site.OrderPath + "1", id: newID()}
-				assert.Equal(t, http.StatusOK, r.ask(q).status)
+				got := r.ask(q)
+				assert.Equal(t, http.StatusOK, got.status, got.body)
 				if s.plainRunners[0].Runs()[q.id] > 0 {
 					reached.Store(true)
 				}
