fleet, gateway: lookups do not name routers that ended seconds ago

A simulation of 12, 77 and 133 routers with relays, 2% loss, and routers that are killed, stop, start, are cut off and paused, named ended routers for up to 44 s. Causes: a resumed process took all others for live again and told its members so; members of an earlier epoch of a stream, or of one that had lost the digest which named them as gone, were confirmed with each digest; each relay on the way added its own silence timeout.

Now a resumed router has to hear each other one within the settle time, and neither sends digests nor names unheard routers meanwhile; the same holds for digests after it was cut off. Gone members are named in four digests, new ones in two, older members are not confirmed after a longer gap, and a digest lists the members that its sender doubts (key 13; old routers ignore it). A stream is asked for again after 300 ms instead of 1 s.

--- a/fleet/digest.go
+++ b/fleet/digest.go
@@ -55,6 +55,10 @@
 	// Leaving holds the upstreams that leave; it is missing in most digests, see
 	// repeatedLeaving.
 	Leaving []placement.Instance `cbor:"12,keyasint,omitempty"`
+	// Doubted lists the hosts of live members that the sender has not heard from for some
+	// time, and at the begin of a stream those that were live lately. The digest does not
+	// confirm that they are live.
+	Doubted []string `cbor:"13,keyasint,omitempty"`
 }
 
 // UpstreamSum is the load that several routers have in progress at one upstream.
@@ -110,6 +114,8 @@
 type digestContent struct {
 	totals  *Totals
 	members []Record
+	doubted []string // hosts of members
+	ended   []string // hosts that were members lately
 	// interest holds the upstreams that the recipient needs; nil stands for all.
 	interest map[string]bool
 }
@@ -120,6 +126,9 @@
 	upstreams     map[string]UpstreamSum // as sent
 	workspaces    map[string]WorkspaceSum
 	members       map[string]Record
+	added         []Record // members that the latest digest added
+	gone          []repeatedGone
+	begun         bool // a complete digest was sent
 	leaving       repeatedLeaving
 }
 
@@ -135,6 +144,7 @@
 	d := &Digest{
 		DataCentre: dataCentre, Epoch: w.epoch, Number: w.number,
 		Routers: content.totals.Routers, AgeMs: content.totals.AgeMs, Retries: content.totals.Retries,
+		Doubted: content.doubted,
 	}
 	var upstreamsLeft, workspacesLeft, membersLeft bool
 	d.Upstreams, upstreamsLeft = takeLargest(w.changedUpstreams(content), changeLimit(maxUpstreamChanges, recipients))
@@ -148,6 +158,11 @@
 	d.Leaving = w.leaving.next(slices.Collect(maps.Keys(content.totals.Leaving)))
 	membersLeft = w.addMembers(d, content.members)
 	d.Complete = !upstreamsLeft && !workspacesLeft && !membersLeft
+	if !w.begun {
+		// The recipient may still hold the members of an earlier epoch.
+		d.Doubted = slices.Concat(d.Doubted, content.ended)
+	}
+	w.begun = w.begun || d.Complete
 	return d
 }
 
@@ -245,6 +260,8 @@
 // addMembers adds the changes of the members and reports whether more are left.
 func (w *digestWriter) addMembers(d *Digest, members []Record) (more bool) {
 	current := make(map[string]bool, len(members))
+	before := w.added
+	w.added = nil
 	for _, m := range members {
 		current[m.Host] = true
 		if w.members[m.Host] == m {
@@ -255,13 +272,21 @@
 			continue
 		}
 		d.Members = append(d.Members, m)
+		w.added = append(w.added, m)
 		w.members[m.Host] = m
 	}
+	// Members are sent twice, as a digest may be lost.
+	for _, m := range before {
+		if current[m.Host] && w.members[m.Host] == m && len(d.Members) < maxMemberChanges {
+			d.Members = append(d.Members, m)
+		}
+	}
 	for host, m := range w.members {
 		if !current[host] {
-			d.Gone = append(d.Gone, GoneMember{Host: host, Incarnation: m.Incarnation})
+			w.gone = append(w.gone, repeatedGone{GoneMember{Host: host, Incarnation: m.Incarnation}, goneRepeat})
 			delete(w.members, host)
 		}
 	}
+	d.Gone = w.nextGone(current)
 	return more
 }
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -24,7 +24,7 @@
 	relayTimeout = 4 * ReportInterval
 	// resyncInterval is the time between two requests to begin a stream of digests
 	// again.
-	resyncInterval = time.Second
+	resyncInterval = 2 * ReportInterval
 )
 
 // usesRelays reports whether reports go through relays. Routers that were not heard
@@ -109,7 +109,7 @@
 	if active {
 		messages = append(messages, Message{To: t.dueProbes(now), Kind: KindProbe, Envelope: Envelope{Report: own}})
 	}
-	if active && (due(now, t.digestsAt, t.pace(t.self.DataCentre)) || t.digestVersions != own.versions() || t.digestSuspects.repeating(own.SuspectsRevision)) {
+	if active && t.settled(now) && (due(now, t.digestsAt, t.pace(t.self.DataCentre)) || t.digestVersions != own.versions() || t.digestSuspects.repeating(own.SuspectsRevision)) {
 		t.digestsAt, t.digestVersions = now, own.versions()
 		messages = append(messages, t.digestMessages(now, own, suspects)...)
 	}
@@ -142,7 +142,7 @@
 func (t *Table) resyncRequests(now time.Time, own *Report) []Message {
 	var messages []Message
 	for host, s := range t.streams {
-		if s.contiguous || now.Sub(s.askedAt) < resyncInterval || now.Sub(s.receivedAt) > resyncInterval {
+		if s.contiguous || now.Sub(s.askedAt) < resyncInterval || now.Sub(s.receivedAt) > reportLifetime {
 			continue
 		}
 		s.askedAt = now
@@ -194,6 +194,7 @@
 	recipients := len(members) + len(remote)
 	messages := t.dataCentreMessages(now, withoutLoads, localTotals, remote, recipients)
 	live := t.Live(now)
+	doubted, ended := t.doubted(now, live), t.endedLately(now)
 	for _, m := range members {
 		if m.digests == nil {
 			m.digests = t.newDigestWriter()
@@ -204,7 +205,7 @@
 		if m.digests.number < suspectsAtOnce {
 			report = withSuspects(withoutLoads, suspects) // the member may have just started
 		}
-		digest := m.digests.next("", digestContent{totals: totals, members: live, interest: m.interest}, recipients)
+		digest := m.digests.next("", digestContent{totals: totals, members: live, doubted: doubted, ended: ended, interest: m.interest}, recipients)
 		messages = append(messages, Message{To: []string{m.record.Host}, Kind: KindMemberDigest, Envelope: Envelope{Report: report, Digest: digest}})
 	}
 	return messages
@@ -232,7 +233,7 @@
 			members = append(members, r)
 		}
 	}
-	digest := t.dataCentreDigests.next(t.self.DataCentre, digestContent{totals: localTotals, members: members}, recipients)
+	digest := t.dataCentreDigests.next(t.self.DataCentre, digestContent{totals: localTotals, members: members, doubted: t.doubted(now, members), ended: t.endedLately(now)}, recipients)
 	return []Message{{To: relays, Kind: KindDataCentreDigest, Envelope: Envelope{Report: own, Digest: digest}}}
 }
 
@@ -268,7 +269,7 @@
 	}
 	for _, members := range []map[string]Record{s.usable().members, s.current.members} {
 		for _, r := range members {
-			if r.Host != sender.Host {
+			if r.Host != sender.Host && !slices.Contains(d.Doubted, r.Host) {
 				t.markSeen(now, r)
 			}
 		}
--- a/fleet/stream.go
+++ b/fleet/stream.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/placement"
@@ -27,9 +28,17 @@
 	current       *streamState
 	// previous is the state before the current epoch; nil once current is synced.
 	previous *streamState
-	askedAt  time.Time // when the sender was last asked to begin again
+	// previousAt is the time of the latest digest of the epoch of previous.
+	previousAt time.Time
+	askedAt    time.Time // when the sender was last asked to begin again
+	// paused is set if this process was suspended since the latest digest.
+	paused bool
 }
 
+// maxPreviousAge is the time for which the members of the previous epoch of a stream are
+// taken for live. It suffices to convey those of the current one.
+const maxPreviousAge = 2 * time.Second
+
 // receive applies a digest and returns the members that are no longer live. Digests
 // that are older than the latest one are ignored.
 func (s *stream) receive(now time.Time, incarnation uint64, d *Digest) (gone []GoneMember, newer bool) {
@@ -38,15 +47,28 @@
 	}
 	if incarnation != s.incarnation || d.Epoch != s.epoch {
 		if s.synced {
-			s.previous = s.current
+			s.previous, s.previousAt = s.current, s.receivedAt
 		}
 		s.incarnation, s.epoch, s.number = incarnation, d.Epoch, 0
 		s.contiguous, s.synced, s.current = true, false, newStreamState()
 	}
-	s.contiguous = s.contiguous && d.Number == s.number+1
+	if s.previous != nil && (s.paused || now.Sub(s.previousAt) > maxPreviousAge) {
+		s.previous.members = map[string]Record{}
+	}
+	if d.Number > s.number+goneRepeat {
+		// Digests that named members as gone were lost.
+		s.current.members = map[string]Record{}
+	}
+	s.contiguous, s.paused = s.contiguous && d.Number == s.number+1, false
 	s.number, s.receivedAt, s.dataCentre = d.Number, now, d.DataCentre
+	// Digests name a router as gone several times.
+	gone = slices.DeleteFunc(slices.Clone(d.Gone), func(g GoneMember) bool { return !s.holds(g.Host) })
 	s.current.apply(d)
-	gone = d.Gone
+	for _, g := range gone {
+		if s.previous != nil {
+			delete(s.previous.members, g.Host)
+		}
+	}
 	if s.contiguous && d.Complete {
 		if s.previous != nil {
 			gone = append(gone, s.current.without(s.previous.members)...)
@@ -56,6 +78,15 @@
 	return gone, true
 }
 
+// holds reports whether the stream has conveyed that a router is live.
+func (s *stream) holds(host string) bool {
+	_, listed := s.current.members[host]
+	if s.previous != nil && !listed {
+		_, listed = s.previous.members[host]
+	}
+	return listed
+}
+
 // without returns those members that are not in the state.
 func (st *streamState) without(members map[string]Record) []GoneMember {
 	var gone []GoneMember
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -43,9 +43,6 @@
 	// ForgetAfter is how long silent routers are probed. It exceeds the longest
 	// partition between regions, which is an hour.
 	ForgetAfter = 2 * time.Hour
-	// minProcessPause is the gap between steps from which this process must have
-	// been suspended.
-	minProcessPause = 600 * time.Millisecond
 )
 
 // Table is what one router knows of the others. It is not safe for concurrent use.
@@ -67,6 +64,12 @@
 	interest   announcedInterest
 	leaving    repeatedLeaving
 	suspects   repeatedSuspects
+	// resumedAt is when this process went on after its latest suspension, which took
+	// pausedFor.
+	resumedAt time.Time
+	pausedFor time.Duration
+	// aloneAt is when this router last heard of no other live one.
+	aloneAt time.Time
 	// evacuations is set if this router follows evacuations.
 	evacuations bool
 
@@ -195,14 +198,7 @@
 	gap := now.Sub(t.lastStep)
 	t.lastStep = now
 	if gap > minProcessPause {
-		for _, m := range t.members {
-			if !m.heardAt.IsZero() {
-				m.heardAt = m.heardAt.Add(gap)
-			}
-			if !m.reportedAt.IsZero() {
-				m.reportedAt = m.reportedAt.Add(gap)
-			}
-		}
+		t.resume(now, gap)
 	}
 	for host, m := range t.members {
 		if now.Sub(later(m.lastHeard(), m.firstSeenAt)) > ForgetAfter {
@@ -210,14 +206,12 @@
 		}
 	}
 	for host, s := range t.streams {
-		if gap > minProcessPause {
-			s.receivedAt = s.receivedAt.Add(gap)
-		}
 		if now.Sub(s.receivedAt) > recentWindow {
 			delete(t.streams, host)
 		}
 	}
 	t.countPaces(now)
+	t.noteAlone(now)
 }
 
 func later(a, b time.Time) time.Time {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -27,7 +27,7 @@
 	if table := g.config.Get().Value.Table; table != nil {
 		permitted = table.HostRegions(q.Host)
 	}
-	return nearest(g.exchange.ready(), q, permitted), min(lookupTTL, g.settings.Bounds.LookupTTL)
+	return nearest(g.exchange.named(), q, permitted), min(lookupTTL, g.settings.Bounds.LookupTTL)
 }
 
 // nearest returns the addresses of the routers that a caller should use, the nearest ones
@@ -88,3 +88,11 @@
 	}
 	return addresses
 }
+
+// named returns the routers that lookups may name. Right after a pause of the process that
+// are those that were heard from since, as the others may have ended.
+func (x *exchange) named() []fleet.Record {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.table.Ready(time.Now())
+}
