placement: rules are checked once for each candidate of a request

The candidates of a large service are joined with the homes of a prompt by one function for restricted and other requests. Decisions are unchanged: go test -race ./placement passes, and a selection of package gateway (regions, cold, failures, non-idempotent, left alone). The whole suite was not repeated.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -18,10 +18,10 @@
 // What is left is compared by limits and cost, which engines and plain upstreams do
 // differently. If nothing is left, refuse states the reason.
 type screen struct {
-	now       time.Time
-	rules     eligibility.Chain
-	request   eligibility.Request
-	exclude   []string
+	now time.Time
+	// panicking is set if more than half of the candidates that may get the request are
+	// failing. All are then used again: either the cause lies elsewhere or there is nothing
+	// better.
 	panicking bool
 
 	barred barredUpstreams
@@ -31,16 +31,36 @@
 	passed     int
 }
 
-// newScreen returns the screen for a request to one of the candidates.
-func newScreen[S interface{ base() *upstreamState }](now time.Time, set *upstreamSet, request eligibility.Request, exclude []string, candidates []S) *screen {
-	c := &screen{now: now, rules: set.rules, request: request, exclude: exclude}
-	c.panicking = panicMode(now, c, candidates)
-	return c
+// newScreen returns the screen for a request, and those of the candidates that the rules
+// allow and that the request has not been sent to. Rules are checked once for each.
+func newScreen[S interface{ base() *upstreamState }](now time.Time, set *upstreamSet, request eligibility.Request, exclude []string, candidates []S) (*screen, []S) {
+	c := &screen{now: now}
+	eligible := make([]S, 0, len(candidates))
+	failing, allowed := 0, 0
+	for _, candidate := range candidates {
+		state := candidate.base()
+		excluded, barred := slices.Contains(exclude, state.upstream.ID), state.barred(now)
+		if excluded && barred || !c.eligible(set.rules, state, request) {
+			continue
+		}
+		if !excluded {
+			eligible = append(eligible, candidate)
+		}
+		if barred {
+			continue
+		}
+		allowed++
+		if !state.usable(now) {
+			failing++
+		}
+	}
+	c.panicking = 2*failing > allowed
+	return c, eligible
 }
 
 // eligible reports whether the rules allow an upstream.
-func (c *screen) eligible(s *upstreamState) bool {
-	reason, passed := c.rules.Check(c.now, s.identity, c.request)
+func (c *screen) eligible(rules eligibility.Chain, s *upstreamState, request eligibility.Request) bool {
+	reason, passed := rules.Check(c.now, s.identity, request)
 	if reason == "" {
 		return true
 	}
@@ -50,12 +70,9 @@
 	return false
 }
 
-// admits reports whether an upstream may get the request. rank is its position in the
-// order of preference.
+// admits reports whether an eligible upstream may get the request. rank is its position in
+// the order of preference.
 func (c *screen) admits(s *upstreamState, rank int) bool {
-	if slices.Contains(c.exclude, s.upstream.ID) || !c.eligible(s) {
-		return false
-	}
 	if s.barred(c.now) {
 		c.barred.add(c.now, s, rank)
 		return false
@@ -88,21 +105,3 @@
 	}
 	return Overloaded
 }
-
-// panicMode reports whether more than half of the candidates for a request that may get
-// it are failing. All are then used again: either the cause lies elsewhere or there is
-// nothing better.
-func panicMode[S interface{ base() *upstreamState }](now time.Time, c *screen, candidates []S) bool {
-	failing, allowed := 0, 0
-	for _, candidate := range candidates {
-		state := candidate.base()
-		if state.barred(now) || !c.eligible(state) {
-			continue
-		}
-		allowed++
-		if !state.usable(now) {
-			failing++
-		}
-	}
-	return 2*failing > allowed
-}
--- a/placement/engine.go
+++ b/placement/engine.go
@@ -171,7 +171,7 @@
 	hashes := prefixHashes(r.Parts)
 	homes := p.homes(now, hashes, r.Eligibility)
 	candidates := p.candidates(now, homes, r.Eligibility)
-	screen := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, candidates)
+	screen, candidates := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, candidates)
 	maxWait := p.maxWait(r)
 	var best, shortest *candidate
 	usable := false
--- a/placement/parts.go
+++ b/placement/parts.go
@@ -80,18 +80,11 @@
 	if !p.limited {
 		return p.near
 	}
+	engines := p.near
 	if request.Regions != nil {
-		return p.withHomes(now, p.permitted.candidates(now, &p.upstreamSet, p.near, p.order, request), homes)
+		engines = p.permitted.candidates(now, &p.upstreamSet, p.near, p.order, request)
 	}
-	candidates := make([]*engine, 0, len(p.near)+len(homes))
-	candidates = append(candidates, p.near...)
-	for _, e := range homes {
-		e.homeUsedAt = now
-		if !e.near {
-			candidates = append(candidates, e)
-		}
-	}
-	return candidates
+	return p.withHomes(now, engines, homes)
 }
 
 // withHomes returns engines with the homes of a prompt that are not among them.
--- a/placement/plain.go
+++ b/placement/plain.go
@@ -110,7 +110,7 @@
 // distance and failures.
 func (p *PlainPool) Place(now time.Time, r PlainRequest) Decision {
 	candidates := p.candidates(now, r.Eligibility)
-	screen := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, candidates)
+	screen, candidates := newScreen(now, &p.upstreamSet, r.Eligibility, r.Exclude, candidates)
 	var best *plainUpstream
 	var bestCost, bestTimeMs float64
 	for _, s := range candidates {
