--- a/review/standin2/caller.go
+++ b/review/standin2/caller.go
@@ -122,3 +122,29 @@
 		}
 	}
 }
+
+// post sends one request that changes something and returns the status, 0 without an answer.
+func (d *deployment) post(router int, id, path string) int {
+	connection, err := d.dial(router)
+	if err != nil {
+		d.note("caller of %s: %v", id, err)
+		return 0
+	}
+	defer connection.Close()
+	_ = connection.SetDeadline(time.Now().Add(callerDeadline))
+	d.note("caller sends %s to router-%d: POST %s", id, router, path)
+	_, err = fmt.Fprintf(connection, "POST %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline: 5000\r\nContent-Length: 2\r\n\r\n{}", path, host, id)
+	if err != nil {
+		d.note("caller of %s: %v", id, err)
+		return 0
+	}
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		d.note("caller of %s: %v", id, err)
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	d.note("caller of %s: status %d, seal %q", id, response.StatusCode, response.Header.Get("Response-Seal"))
+	return response.StatusCode
+}
--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -18,6 +18,9 @@
 		modelFlags: []string{"-framing", "resumed-none", "-prefill", "400ms"},
 		run:        resumedUnframed,
 	},
+	"encoded-slash": {
+		run: encodedSlash,
+	},
 	"carriage-returns": {
 		modelFlags: []string{"-eol", "cr", "-comments", "-prefill", "100ms"},
 		run:        carriageReturns,
@@ -175,3 +178,38 @@
 	}
 	return broken, tried
 }
+
+// encodedSlash: an application server crashes while it runs a request that may run once. In
+// every other round the path has an encoded slash, which makes it begin like the prefix of
+// another route once it is decoded.
+func encodedSlash(d *deployment, trouble bool) (broken, tried int) {
+	for round := range rounds {
+		path := fmt.Sprintf("/book/status%%2F%d", round)
+		if round%2 == 1 {
+			path = fmt.Sprintf("/book/status-%d", round)
+		}
+		id := fmt.Sprintf("p%d", round)
+		ended := make(chan int, 1)
+		go func() { ended <- d.post(1+round%routers, id, path) }()
+		first := d.whoRuns(id, 2*time.Second)
+		if first == nil {
+			<-ended
+			continue
+		}
+		if trouble {
+			time.Sleep(60 * time.Millisecond)
+			first.kill()
+		}
+		second := d.whoRuns(id, 2*time.Second)
+		<-ended
+		tried++
+		if second != nil {
+			broken++
+			d.note("BROKEN: %s ran at %s and again at %s", id, first.id, second.id)
+		}
+		if trouble {
+			d.startAgain(first)
+		}
+	}
+	return broken, tried
+}
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -20,9 +20,10 @@
 	host    = "case.example"
 	apiKey  = "case-key-1"
 	routers = 3
-	// modelRunners and appRunners are the numbers of runners of the small deployments.
+	// modelRunners is the number of model runners of the small deployments. With appRunners
+	// application servers the loss of one is within the share of srv_crash.
 	modelRunners = 12
-	appRunners   = 3
+	appRunners   = 6
 	heartbeat    = 1200 * time.Millisecond
 	readyWait    = 20 * time.Second
 	recordTime   = "15:04:05.000"
@@ -79,7 +80,7 @@
 	for i := range modelRunners + appRunners {
 		r := &runnerProcess{d: d, id: fmt.Sprintf("model-%d", i), address: fmt.Sprintf("%s.%d:8080", d.network, 100+i), service: "drafting", flags: modelFlags, begun: make(chan string, 1<<14)}
 		if i >= modelRunners {
-			r.id, r.service, r.flags = fmt.Sprintf("app-%d", i-modelRunners), "bookings", []string{"-plain"}
+			r.id, r.service, r.flags = fmt.Sprintf("app-%d", i-modelRunners), "bookings", []string{"-plain", "-work", "150ms"}
 		}
 		d.runners = append(d.runners, r)
 		if err := r.start(); err != nil {
@@ -151,6 +152,12 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
+			"name": "charge", "host": host, "path_prefix": "/book/", "kind": "non_idempotent", "service": "bookings", "public": true,
+			"timeout_ms": 2500, "target_latency_ms": 300, "max_attempts": 1, "priority": 2,
+		}, map[string]any{
+			"name": "job-status", "host": host, "path_prefix": "/book/status/", "kind": "idempotent", "service": "bookings", "public": true,
+			"timeout_ms": 2500, "target_latency_ms": 300, "max_attempts": 2, "priority": 2,
+		}, map[string]any{
 			"name": "status", "host": host, "path_prefix": "/status/", "kind": "idempotent", "service": "bookings", "public": true,
 			"timeout_ms": 2500, "target_latency_ms": 300, "max_attempts": 2, "priority": 2,
 		}, map[string]any{
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -25,6 +25,7 @@
 	lineEnd := f.String("eol", "lf", "line ends of events: lf or cr")
 	comments := f.Bool("comments", false, "begin each event with a comment line")
 	plain := f.Bool("plain", false, "serve as an application server")
+	work := f.Duration("work", 20*time.Millisecond, "time for a request to an application server")
 	framing := f.String("framing", "chunks", "chunks, or resumed-none: answers to resumed streams end with their connection")
 	prefill := f.Duration("prefill", 300*time.Millisecond, "time between the head and the first event")
 	_ = f.Parse(args)
@@ -33,7 +34,7 @@
 		fmt.Println("cannot listen:", err)
 		return
 	}
-	r := runner{id: *id, unframed: *framing == "resumed-none", comments: *comments, plain: *plain, prefill: *prefill, eol: "\n"}
+	r := runner{id: *id, unframed: *framing == "resumed-none", comments: *comments, plain: *plain, work: *work, prefill: *prefill, eol: "\n"}
 	if *lineEnd == "cr" {
 		r.eol = "\r"
 	}
@@ -50,7 +51,7 @@
 type runner struct {
 	id, eol                   string
 	unframed, comments, plain bool
-	prefill                   time.Duration
+	prefill, work             time.Duration
 }
 
 // serve answers the requests of one connection.
@@ -70,9 +71,9 @@
 			fmt.Fprintf(connection, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.id)
 			continue
 		}
-		fmt.Println("runs", id, "after", orNone(request.Header.Get("Last-Event-Id")))
+		fmt.Println("runs", id, request.Method, request.RequestURI, "after", orNone(request.Header.Get("Last-Event-Id")))
 		if r.plain {
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(r.work)
 			_, err = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s-%s\r\nContent-Length: 3\r\n\r\nok\n", id, r.id, id)
 		} else {
 			err = r.stream(connection, request, id)
