--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	"encoded-slash": {
 		run: encodedSlash,
 	},
+	"grey-503": {
+		run: grey503,
+	},
 	"carriage-returns": {
 		modelFlags: []string{"-eol", "cr", "-comments", "-prefill", "100ms"},
 		run:        carriageReturns,
@@ -213,3 +217,54 @@
 	}
 	return broken, tried
 }
+
+const (
+	// greyTime is how long a runner is grey, and greyCallers the number of callers that send
+	// requests meanwhile.
+	greyTime    = 6 * time.Second
+	greyCallers = 8
+)
+
+// grey503: an application server is grey. It runs requests that may run once and answers a
+// part of them with a 503 that does not say that the request was not executed.
+func grey503(d *deployment, trouble bool) (broken, tried int) {
+	grey := d.runners[modelRunners]
+	if trouble {
+		grey.setGrey(true)
+	}
+	statuses := map[string]int{}
+	var mu sync.Mutex
+	var callers sync.WaitGroup
+	end := time.Now().Add(greyTime)
+	for caller := range greyCallers {
+		callers.Go(func() {
+			for i := 0; time.Now().Before(end); i++ {
+				id := fmt.Sprintf("g%d-%d", caller, i)
+				status := d.post(1+(caller+i)%routers, id, "/book/charge-"+id)
+				mu.Lock()
+				statuses[id] = status
+				mu.Unlock()
+				time.Sleep(50 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	if trouble {
+		grey.setGrey(false)
+	}
+	time.Sleep(200 * time.Millisecond)
+	for _, r := range d.runners {
+		for len(r.begun) > 0 {
+			id := <-r.begun
+			status, posted := statuses[id]
+			if posted {
+				tried++
+			}
+			if status == 503 || status == 429 || status == 408 || status == 421 {
+				broken++
+				d.note("BROKEN: %s was answered %d and ran at %s", id, status, r.id)
+			}
+		}
+	}
+	return broken, tried
+}
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lacewingshift/lacewingshift/fake/site"
@@ -21,9 +22,9 @@
 	apiKey  = "case-key-1"
 	routers = 3
 	// modelRunners is the number of model runners of the small deployments. With appRunners
-	// application servers the loss of one is within the share of srv_crash.
+	// application servers one of them is within the shares of srv_crash and srv_grey.
 	modelRunners = 12
-	appRunners   = 6
+	appRunners   = 8
 	heartbeat    = 1200 * time.Millisecond
 	readyWait    = 20 * time.Second
 	recordTime   = "15:04:05.000"
@@ -255,6 +256,20 @@
 	_ = cmd.Wait()
 }
 
+// setGrey makes the runner fail a part of its requests, or ends that.
+func (r *runnerProcess) setGrey(grey bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := syscall.SIGUSR2
+	if grey {
+		s = syscall.SIGUSR1
+	}
+	if r.cmd != nil {
+		r.d.note("%s is grey: %t", r.id, grey)
+		_ = r.cmd.Process.Signal(s)
+	}
+}
+
 func (r *runnerProcess) register() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -6,10 +6,15 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"strconv"
 	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -34,10 +39,17 @@
 		fmt.Println("cannot listen:", err)
 		return
 	}
-	r := runner{id: *id, unframed: *framing == "resumed-none", comments: *comments, plain: *plain, work: *work, prefill: *prefill, eol: "\n"}
+	grey := make(chan os.Signal, 1)
+	signal.Notify(grey, syscall.SIGUSR1, syscall.SIGUSR2)
+	r := runner{id: *id, grey: &atomic.Bool{}, unframed: *framing == "resumed-none", comments: *comments, plain: *plain, work: *work, prefill: *prefill, eol: "\n"}
 	if *lineEnd == "cr" {
 		r.eol = "\r"
 	}
+	go func() {
+		for s := range grey {
+			r.grey.Store(s == syscall.SIGUSR1)
+		}
+	}()
 	fmt.Println("ready")
 	for {
 		connection, err := listener.Accept()
@@ -52,8 +64,13 @@
 	id, eol                   string
 	unframed, comments, plain bool
 	prefill, work             time.Duration
+	// grey is set from SIGUSR1 to SIGUSR2: a part of the requests fails.
+	grey *atomic.Bool
 }
 
+// greyShare is the part of the requests that a grey runner fails after it has run them.
+const greyShare = 0.45
+
 // serve answers the requests of one connection.
 func (r runner) serve(connection net.Conn) {
 	defer connection.Close()
@@ -74,7 +91,11 @@
 		fmt.Println("runs", id, request.Method, request.RequestURI, "after", orNone(request.Header.Get("Last-Event-Id")))
 		if r.plain {
 			time.Sleep(r.work)
-			_, err = fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s-%s\r\nContent-Length: 3\r\n\r\nok\n", id, r.id, id)
+			status := "200 OK"
+			if r.grey.Load() && rand.Float64() < greyShare {
+				status = "503 Service Unavailable"
+			}
+			_, err = fmt.Fprintf(connection, "HTTP/1.1 "+status+"\r\nRequest-Id: %s\r\nResponse-Seal: seal-%s-%s\r\nContent-Length: 3\r\n\r\nok\n", id, r.id, id)
 		} else {
 			err = r.stream(connection, request, id)
 		}
