--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,9 +42,16 @@
 		return 2
 	}
 	defer record.Close()
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM)
 	d, err := start(record, p.modelFlags)
 	if d != nil {
 		defer d.close()
+		go func() {
+			<-interrupts
+			d.close()
+			os.Exit(2)
+		}()
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -39,6 +39,8 @@
 	routers []*exec.Cmd
 	stop    chan struct{}
 
+	closeOnce sync.Once
+
 	mu     sync.Mutex
 	record *os.File
 }
@@ -304,7 +306,9 @@
 }
 
 // close ends all processes and removes the folder.
-func (d *deployment) close() {
+func (d *deployment) close() { d.closeOnce.Do(d.end) }
+
+func (d *deployment) end() {
 	close(d.stop)
 	for _, cmd := range d.routers {
 		_ = cmd.Process.Kill()
