--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -69,12 +69,20 @@
 	switch {
 	case broken > 0:
 		return 1
-	case tried == 0:
+	case tried == 0 || !trouble && d.unserved > 0:
+		d.note("%d requests were not served", d.unserved)
 		return 2
 	}
 	return 0
 }
 
+// expect counts a request that was not served as it has to be without a disruption.
+func (d *deployment) expect(served bool) {
+	if !served {
+		d.unserved++
+	}
+}
+
 const rounds = 8
 
 // whoRuns returns the runner at which a request begins to run, nil if none does in time.
@@ -124,6 +132,7 @@
 			a = d.resumedByRouter(round, id, trouble)
 		}
 		tried++
+		d.expect(a.whole && len(a.pieces) == streamEvents-sent)
 		if a.status == 200 && a.whole && len(a.pieces) < streamEvents-sent {
 			broken++
 			d.note("BROKEN: the answer to %s ended as complete with %d of %d events", id, len(a.pieces), streamEvents-sent)
@@ -180,6 +189,7 @@
 		}
 		a := <-got
 		tried++
+		d.expect(a.whole && len(a.pieces) == streamEvents)
 		for i, piece := range a.pieces {
 			if piece != strconv.Itoa(i+1) {
 				broken++
@@ -214,7 +224,7 @@
 			first.kill()
 		}
 		second := d.whoRuns(id, 2*time.Second)
-		<-ended
+		d.expect(<-ended == 200)
 		tried++
 		if second != nil {
 			broken++
@@ -268,6 +278,7 @@
 			status, posted := statuses[id]
 			if posted {
 				tried++
+				d.expect(status == 200)
 			}
 			if status == 503 || status == 429 || status == 408 || status == 421 {
 				broken++
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -40,6 +40,8 @@
 	stop    chan struct{}
 
 	closeOnce sync.Once
+	// unserved is the number of requests that were not served in full.
+	unserved int
 
 	mu     sync.Mutex
 	record *os.File
