gateway: a status that promises "not run" is passed on from no upstream

What callers saw: a plain server that fails part of its requests runs a request which may run once and answers 503 with its signature, without the header that says that it did not run it. The router passes the 503 on.

Cause: relayResponse decided by the header (or 421) whether an upstream had run a request, and by the seal whether its answer goes to the caller. It did not look at what the status tells the caller. 408, 429 and 503 without the header therefore went out as promises that nobody had made.

Ruled out: a refusal of the router after an attempt that may have run (that line is "request refused", its answer has no signature).

Change: such an answer is a failed attempt that may have run, on routes of every kind. It is retried where the route allows it; otherwise the caller gets 502 without the signature, which promises nothing. This works since the router's own refusals already depend on whether an attempt may have run. The Retry-After of the router's own on such a 503 has no use left and is removed. The time for which the upstream wants to be left alone is kept, as before.

--- a/fake/site/runner.go
+++ b/fake/site/runner.go
@@ -19,33 +19,34 @@
 
 // Behaviours of a runner.
 const (
-	Healthy          Behaviour = iota
-	Failing                    // responds with 500
-	Shedding                   // responds with 503 and does not run the request
-	Hanging                    // accepts requests and never responds
-	Truncating                 // breaks off every response in the middle
-	Unsealed                   // responds without a seal
-	Misdirected                // responds that it is another instance
-	WrongRequestID             // responds with the id of another request
-	EndlessHead                // sends a response head without end
-	EndlessBody                // sends a body without end and, in a stream, without events
-	StalledEvent               // sends StalledEventBytes of a body without an event, and then nothing
-	RepeatedAnswer             // sends a plain answer again when the next request arrives on its connection
-	AnonymousRepeat            // as RepeatedAnswer, without a request id in the second copy
-	Dripping                   // sends a comment line now and then in place of events
-	SlowStream                 // pauses for SlowPause in the middle of a stream
-	DocumentAnswer             // answers a request for a stream with a JSON document
-	UntypedText                // as DocumentAnswer, with a text and without a content type
-	RejectingText              // responds with 400 and a text
-	ErrorEvent                 // answers a request for a stream with an event without an id
-	IgnoresLastEvent           // starts a stream from its first event, whatever the request says
-	SkipsEvent                 // leaves out the first event of the rest of a stream
-	RepeatedRefusal            // refuses the first request of a connection, and does so again when it runs the next one
-	AnonymousRefusal           // as RepeatedRefusal, without a request id in the second copy
-	Unframed                   // sends neither a length nor chunks; the connection ends the answer
-	UnframedCut                // as Unframed, and closes the connection inside an event of a stream
-	UnframedReset              // as Unframed, and resets the connection in the middle of an answer
-	UnframedEmpty              // as Unframed, and closes the connection before the first event of a stream
+	Healthy             Behaviour = iota
+	Failing                       // responds with 500
+	Shedding                      // responds with 503 and does not run the request
+	Hanging                       // accepts requests and never responds
+	Truncating                    // breaks off every response in the middle
+	Unsealed                      // responds without a seal
+	Misdirected                   // responds that it is another instance
+	WrongRequestID                // responds with the id of another request
+	EndlessHead                   // sends a response head without end
+	EndlessBody                   // sends a body without end and, in a stream, without events
+	StalledEvent                  // sends StalledEventBytes of a body without an event, and then nothing
+	RepeatedAnswer                // sends a plain answer again when the next request arrives on its connection
+	AnonymousRepeat               // as RepeatedAnswer, without a request id in the second copy
+	Dripping                      // sends a comment line now and then in place of events
+	SlowStream                    // pauses for SlowPause in the middle of a stream
+	DocumentAnswer                // answers a request for a stream with a JSON document
+	UntypedText                   // as DocumentAnswer, with a text and without a content type
+	RejectingText                 // responds with 400 and a text
+	ErrorEvent                    // answers a request for a stream with an event without an id
+	IgnoresLastEvent              // starts a stream from its first event, whatever the request says
+	SkipsEvent                    // leaves out the first event of the rest of a stream
+	RepeatedRefusal               // refuses the first request of a connection, and does so again when it runs the next one
+	AnonymousRefusal              // as RepeatedRefusal, without a request id in the second copy
+	UnavailableAfterRun           // responds with 503 to a request that it has run
+	Unframed                      // sends neither a length nor chunks; the connection ends the answer
+	UnframedCut                   // as Unframed, and closes the connection inside an event of a stream
+	UnframedReset                 // as Unframed, and resets the connection in the middle of an answer
+	UnframedEmpty                 // as Unframed, and closes the connection before the first event of a stream
 )
 
 // SlowPause is the pause in a SlowStream. DripInterval is the time between two
@@ -285,9 +286,13 @@
 	if b >= Unframed {
 		w.Header().Set("Transfer-Encoding", "identity") // net/http then leaves out the chunks
 	}
-	if b == Failing {
+	if b == Failing || b == UnavailableAfterRun {
 		r.work(request, r.WorkTime)
-		w.WriteHeader(http.StatusInternalServerError)
+		status := http.StatusInternalServerError
+		if b == UnavailableAfterRun {
+			status = http.StatusServiceUnavailable
+		}
+		w.WriteHeader(status)
 		return
 	}
 	if b == EndlessBody {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -93,7 +93,7 @@
 func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
 	for name, b := range map[string]site.Behaviour{
 		"failing": site.Failing, "hanging": site.Hanging, "truncating": site.Truncating,
-		"unsealed": site.Unsealed, "wrong request id": site.WrongRequestID,
+		"unsealed": site.Unsealed, "wrong request id": site.WrongRequestID, "unavailable after it ran": site.UnavailableAfterRun,
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newSite(t, 1, 2)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -77,11 +76,6 @@
 	c.firstByte = time.Since(c.received)
 	h.pools.firstEvent(time.Now(), a)
 	platform.CopyHeaders(out.w.Header(), response.Header)
-	if c.leaveAlone {
-		// The time that the upstream asked for is not when the caller is served.
-		retryAfter := max(h.pools.freeIn(time.Now(), c), placement.Jitter(placement.MinRetryAfter, rand.Float64()))
-		platform.SetRouterHeaders(out.w.Header(), "", retryAfter)
-	}
 	if len(buffered) < bufferLimit && response.ContentLength < 0 && c.request.Method != http.MethodHead {
 		// The size of the body is known now; sending it lets the caller detect
 		// truncation.
@@ -103,7 +97,7 @@
 	h.metrics.answered(c)
 	outcome := placement.Succeeded
 	if response.StatusCode >= 500 {
-		outcome = c.failureOutcome()
+		outcome = placement.Failed
 	} else if response.StatusCode < 300 {
 		h.noteProgress(c)
 	}
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -304,8 +305,10 @@
 		return result{notRun, placement.Rejected, "upstream did not run the request"}
 	case !headers.Sealed || headers.Encoded:
 		return result{maybeRan, placement.Failed, "answer is not the upstream's own"}
+	case platform.TellsNotRun(response.StatusCode):
+		return result{maybeRan, c.failureOutcome(), fmt.Sprintf("status %d of a request that may have run", response.StatusCode)}
 	case !success && response.StatusCode >= 500 && c.route.Retryable() && h.canRetry(c):
-		return result{maybeRan, c.failureOutcome(), "upstream failed"}
+		return result{maybeRan, placement.Failed, "upstream failed"}
 	case success && c.route.Kind == catalog.Stream:
 		return h.relayStream(ctx, out, c, a, response, watchdog)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -164,7 +164,7 @@
 	modes := []mode{modeSlow, modeStall, modeStallToServer, modeStallToClient, modeRefuse}
 	m := modes[f.rng.IntN(len(modes))]
 	behaviours := []site.Behaviour{site.Failing, site.Shedding, site.Hanging, site.Truncating, site.Unsealed, site.Misdirected, site.WrongRequestID,
-		site.Unframed, site.UnframedCut, site.UnframedReset, site.UnframedEmpty}
+		site.Unframed, site.UnframedCut, site.UnframedReset, site.UnframedEmpty, site.UnavailableAfterRun}
 	b := behaviours[f.rng.IntN(len(behaviours))]
 	wait := 1 + 3*f.rng.Float64()
 	f.version += int64(1 + f.rng.IntN(5))
