upstream: only the statement of an upstream proves that it ran nothing

Callers were told not_run for a call that the service had run and then failed, and a keyed call released its record and was sent to the next upstream, where it ran again.

Change: the upstream states it in a header, Lacewing-Not-Run, which the stand-ins send with their refusals. Without it the error is ErrFailed, after which a request may have run: a call that may be repeated is sent elsewhere, a keyed one ends as outcome_unknown.

Ruled out: entry's handling of the errors. It reports not_run for ErrNotSent and ErrRefused only, which is right if these hold what they say.

Test: TestRefusalNeedsTheStatementOfTheUpstream failed before (ErrRefused for 429, 503 and 500 without a statement). The tests of upstream, entry and fake pass.

--- a/fake/control.go
+++ b/fake/control.go
@@ -117,6 +117,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if faults.Refuse {
+		w.Header().Set("Lacewing-Not-Run", "1")
 		writeError(w, http.StatusServiceUnavailable, "refused", "refused before running")
 		return false
 	}
--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -58,8 +58,8 @@
 
 // Stream starts the run and calls sink for each chunk, in order, without gaps or
 // repeats, until the response is complete. If the connection breaks, it reconnects to
-// the stream at the engine. Errors: ErrNotSent, ErrRefused, ErrResponseLost, ErrStalled,
-// ErrStreamGone, the error of sink, ctx.Err().
+// the stream at the engine. Errors: ErrNotSent, ErrRefused, ErrFailed, ErrResponseLost,
+// ErrStalled, ErrStreamGone, the error of sink, ctx.Err().
 func (c *Client) Stream(ctx context.Context, run Run, sink func(Chunk) error) error {
 	body, err := run.request()
 	if err != nil {
@@ -232,11 +232,13 @@
 		return nil
 	}
 	detail, _ := io.ReadAll(io.LimitReader(response.Body, maxErrorBody))
-	switch response.StatusCode {
-	case http.StatusNotFound, http.StatusGone:
+	switch {
+	case response.StatusCode == http.StatusNotFound || response.StatusCode == http.StatusGone:
 		return eris.Wrapf(ErrStreamGone, "status %d: %s", response.StatusCode, detail)
-	default:
+	case response.Header.Get(headerNotRun) != "":
 		return eris.Wrapf(ErrRefused, "status %d: %s", response.StatusCode, detail)
+	default:
+		return eris.Wrapf(ErrFailed, "status %d: %s", response.StatusCode, detail)
 	}
 }
 
--- a/upstream/plain.go
+++ b/upstream/plain.go
@@ -33,7 +33,7 @@
 }
 
 // Call sends the call and waits for the complete response. Errors: ErrNotSent,
-// ErrRefused, ErrResponseLost (the call may have run), ErrTooLarge (it ran).
+// ErrRefused, ErrFailed and ErrResponseLost (the call may have run), ErrTooLarge (it ran).
 func (c *Client) Call(ctx context.Context, call PlainCall) (PlainResponse, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
@@ -61,9 +61,11 @@
 }
 
 func readPlain(response *http.Response) (PlainResponse, error) {
-	// Plain services return 429 and 503 only for calls that they did not run.
-	if response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable {
+	switch {
+	case response.Header.Get(headerNotRun) != "":
 		return PlainResponse{}, eris.Wrapf(ErrRefused, "status %d", response.StatusCode)
+	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable:
+		return PlainResponse{}, eris.Wrapf(ErrFailed, "status %d", response.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxPlainResponse+1))
 	if err != nil {
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,17 +12,21 @@
 )
 
 // Errors of this package. ErrNotSent guarantees that no byte of the request reached
-// the upstream, and ErrRefused that the upstream refused the request without running
-// it. After any other error the request may have run.
+// the upstream, and ErrRefused that the upstream states that it did not run the request. After any other error the request may have run.
 var (
 	ErrNotSent      = eris.New("upstream could not be reached")
 	ErrRefused      = eris.New("upstream refused the request")
+	ErrFailed       = eris.New("upstream failed the request")
 	ErrResponseLost = eris.New("the answer of the upstream was lost")
 	ErrStreamGone   = eris.New("upstream no longer has the stream")
 	ErrTooLarge     = eris.New("response of the upstream is too large")
 	ErrStalled      = eris.New("upstream sent no event within the stall timeout")
 )
 
+// headerNotRun is the header of a response in which the upstream states that it did not
+// run the request. A status alone does not prove that.
+const headerNotRun = "Lacewing-Not-Run"
+
 const (
 	dialTimeout = time.Second
 	// maxIdlePerUpstream is the maximum number of idle connections to one upstream,
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"testing"
 
+	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/fake"
@@ -113,6 +114,33 @@
 	require.EqualValues(t, 1, runs.Load())
 }
 
+// Guards against reporting that a call did not run because of its status alone: an
+// overloaded service may fail a call with 503 after it has run it.
+func TestRefusalNeedsTheStatementOfTheUpstream(t *testing.T) {
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusInternalServerError} {
+		for _, stated := range []bool{true, false} {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if stated {
+					w.Header().Set(headerNotRun, "1")
+				}
+				w.WriteHeader(status)
+			}))
+			t.Cleanup(server.Close)
+			client := NewClient(nil)
+			t.Cleanup(client.Close)
+			address := strings.TrimPrefix(server.URL, "http://")
+			_, err := client.Call(t.Context(), PlainCall{Address: address, Method: http.MethodPost, Path: "/orders", NoRetry: true})
+			require.Equal(t, stated, eris.Is(err, ErrRefused), "call, status %d: %v", status, err)
+			if status != http.StatusInternalServerError {
+				require.Equal(t, !stated, eris.Is(err, ErrFailed), "call, status %d: %v", status, err)
+			}
+			err = client.Stream(t.Context(), Run{Address: address, ID: "r.5", Body: body("4")}, func(Chunk) error { return nil })
+			require.Equal(t, stated, eris.Is(err, ErrRefused), "stream, status %d: %v", status, err)
+			require.Equal(t, !stated, eris.Is(err, ErrFailed), "stream, status %d: %v", status, err)
+		}
+	}
+}
+
 // Guards against reporting a refused connection as an unknown outcome.
 func TestUnreachableUpstreamIsNotSent(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
