upstream: a refused reconnection does not mean that the run did not start

After an engine's connection has broken, the reader reconnects to the stream of the run. If the engine refused that, the error of the whole run was ErrRefused, and the caller was told not_run although the engine may have run the request. The same mistake had been ruled out for a reconnection that fails to connect, not for one that is refused.

Change: a refused reconnection counts as a lost answer, and the reader tries again within its limit of attempts.

Test: TestRefusedReconnectionDoesNotMeanNotRun failed before (ErrRefused in place of ErrResponseLost). The tests of upstream and entry pass.

--- a/upstream/engine.go
+++ b/upstream/engine.go
@@ -144,9 +144,9 @@
 			return waitErr
 		}
 		nextErr := r.connect(ctx, r.resumeRequest)
-		if eris.Is(nextErr, ErrNotSent) {
+		if eris.Is(nextErr, ErrNotSent) || eris.Is(nextErr, ErrRefused) {
 			// The run has started, so a failed reconnection does not mean that the
-			// request was never sent.
+			// request was never sent or run.
 			nextErr = eris.Wrap(ErrResponseLost, nextErr.Error())
 		}
 		err = nextErr
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -141,6 +141,24 @@
 	}
 }
 
+// Guards against reporting that a run which has started did not run, because the engine
+// refuses the reconnection to its stream.
+func TestRefusedReconnectionDoesNotMeanNotRun(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(server.Close)
+	client := NewClient(nil)
+	t.Cleanup(client.Close)
+	run := Run{Address: strings.TrimPrefix(server.URL, "http://"), ID: "r.6", Body: body("4")}
+	err := client.Stream(t.Context(), run, func(Chunk) error { return nil })
+	require.ErrorIs(t, err, ErrResponseLost)
+}
+
 // Guards against reporting a refused connection as an unknown outcome.
 func TestUnreachableUpstreamIsNotSent(t *testing.T) {
 	server := httptest.NewServer(http.NotFoundHandler())
