gateway: the ids of events are read with every line ending

What callers saw: engines end lines with a carriage return and begin each event with a comment line; one crashes in the middle of a stream.

Cause: three pieces of code split a stream into lines. eventBuffer and continuesWith end them at line feeds and carriage returns, recordEvents, which notes the last event that the caller has, at line feeds only. The chunk was taken for one comment; an answer of which nothing is noted may be continued by any beginning.

Ruled out: that the id is noted and lost on the way (events would not be 0), and that the second engine ignores it (it gets none).

Change: one function splits streams into lines for all three, and one reads the id of a line. So what is noted of a stream and what is compared with it cannot differ any more.

TestOnlyTheRestContinuesAStream and TestAnswerWithoutIDsIsNotContinued run with all line endings now and failed before with carriage returns.

--- a/gateway/continue_test.go
+++ b/gateway/continue_test.go
@@ -1,11 +1,17 @@
 package gateway
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
 )
 
+// lineEnds are the line endings of a stream of server-sent events.
+var lineEnds = []string{"\n", "\r\n", "\r"}
+
+// What another upstream sends after a stream broke off must reach the caller only if it is
+// the rest of the stream, with every line ending.
 func TestOnlyTheRestContinuesAStream(t *testing.T) {
 	numbered := "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	for _, c := range []struct {
@@ -15,7 +21,9 @@
 		{"", "id: 7\ndata: a\n\n", true},
 		{": comment\n\n", "data: a\n\n", true},
 		{numbered, "id: 3\ndata: c\n\n", true},
-		{numbered, "id:3\r\ndata: c\r\n\r\n", true},
+		{numbered, "id:3\ndata: c\n\n", true},
+		{": comment\n" + numbered, "id: 1\ndata: a\n\n", false},
+		{": comment\n" + numbered, "id: 3\ndata: c\n\n", true},
 		{numbered, ": comment\n\n", true}, // says nothing yet
 		{numbered, ": comment\n\nid: 3\ndata: c\n\n", true},
 		{numbered, "weight-versions: 2\nid: 3\ndata: c\n\n", true},
@@ -29,9 +37,15 @@
 		{"id: a\ndata: a\n\n", "id: a\ndata: a\n\n", false},
 		{"id: a\ndata: a\n\n", "data: b\n\n", false},
 	} {
-		var out callerResponse
-		out.recordEvents([]byte(c.sent))
-		assert.Equal(t, c.continues, out.continuesWith([]byte(c.next)), "%q after %q", c.next, c.sent)
+		for _, sentEnd := range lineEnds {
+			var out callerResponse
+			sent := strings.ReplaceAll(c.sent, "\n", sentEnd)
+			out.recordEvents([]byte(sent))
+			for _, nextEnd := range lineEnds {
+				next := strings.ReplaceAll(c.next, "\n", nextEnd)
+				assert.Equal(t, c.continues, out.continuesWith([]byte(next)), "%q after %q", next, sent)
+			}
+		}
 	}
 }
 
@@ -45,10 +59,13 @@
 		"data: hello\n\nid: 1\ndata: a\n\n":  true,
 		"data: a\n\n":                        false,
 		": comment\n\nevent: e\ndata: a\n\n": false,
-		"{\"text\": \"a document\"}\r\n\r\n": false,
+		"{\"text\": \"a document\"}\n\n":     false,
 	} {
-		var out callerResponse
-		out.recordEvents([]byte(sent))
-		assert.Equal(t, continues, out.canContinue(), "after %q", sent)
+		for _, lineEnd := range lineEnds {
+			var out callerResponse
+			sent := strings.ReplaceAll(sent, "\n", lineEnd)
+			out.recordEvents([]byte(sent))
+			assert.Equal(t, continues, out.canContinue(), "after %q", sent)
+		}
 	}
 }
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+	"iter"
+)
 
 // eventBuffer splits a stream of server-sent events into whole events. Lines end with
 // a line feed, a carriage return or both; an empty line ends an event. The zero value
@@ -53,12 +56,60 @@
 	if b.lineBegun {
 		return true
 	}
-	for line := range bytes.FieldsFuncSeq(b.pending, isLineEnd) {
-		if line[0] != ':' {
+	for line := range lines(b.pending) {
+		if !isComment(line) {
 			return true
 		}
 	}
 	return false
 }
 
-func isLineEnd(r rune) bool { return r == '\n' || r == '\r' }
+// lines returns the lines of a stream without their ends.
+func lines(stream []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for len(stream) > 0 {
+			end := bytes.IndexAny(stream, "\r\n")
+			if end < 0 {
+				yield(stream)
+				return
+			}
+			next := end + 1
+			if stream[end] == '\r' && next < len(stream) && stream[next] == '\n' {
+				next++
+			}
+			if !yield(stream[:end]) {
+				return
+			}
+			stream = stream[next:]
+		}
+	}
+}
+
+var idField = []byte("id:")
+
+// idOf returns the id that a line gives its event, and whether it gives one.
+func idOf(line []byte) (id string, hasID bool) {
+	value, hasID := bytes.CutPrefix(line, idField)
+	if !hasID {
+		return "", false
+	}
+	return string(bytes.TrimSpace(value)), true
+}
+
+// isComment reports whether a line is empty or a comment.
+func isComment(line []byte) bool { return len(line) == 0 || line[0] == ':' }
+
+// firstEventID returns the id of the first event, empty if it has none, and false if there
+// are only comments.
+func firstEventID(events []byte) (id string, found bool) {
+	for line := range lines(events) {
+		if len(line) == 0 && found {
+			return "", true
+		}
+		if id, hasID := idOf(line); hasID {
+			return id, true
+		}
+		found = found || !isComment(line)
+	}
+	return "", found
+}
--- a/gateway/events_test.go
+++ b/gateway/events_test.go
@@ -24,7 +24,7 @@
 		"inside a comment":     {"id: 1\n\n: by", "id: 1\n\n", true},
 		"empty lines after":    {"id: 1\n\n\n\n", "id: 1\n\n\n\n", false},
 	} {
-		for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		for _, lineEnd := range lineEnds {
 			t.Run(name, func(t *testing.T) {
 				stream, expected := strings.ReplaceAll(c.stream, "\n", lineEnd), strings.ReplaceAll(c.whole, "\n", lineEnd)
 				rapid.Check(t, func(t *rapid.T) {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -33,8 +32,6 @@
 // the caller has begun to receive.
 const reasonNotTheRest = "answer is not the rest of the stream"
 
-var idField = []byte("id:")
-
 // callerResponse is the response to a caller, across all attempts.
 type callerResponse struct {
 	w           http.ResponseWriter
@@ -208,9 +205,8 @@
 
 // recordEvents counts the events that have an id and stores the last id.
 func (r *callerResponse) recordEvents(events []byte) {
-	for line := range bytes.Lines(events) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			id := string(bytes.TrimSpace(rest))
+	for line := range lines(events) {
+		if id, hasID := idOf(line); hasID {
 			r.consecutive = isNumber(id) && (r.events == 0 || r.consecutive && follows(r.lastEventID, id))
 			r.lastEventID = id
 			r.events++
@@ -230,40 +226,15 @@
 	if r.lastEventID == "" {
 		return true
 	}
-	for event := range bytes.SplitSeq(normalLineEnds(events), []byte("\n\n")) {
-		id, isEvent := eventID(event)
-		if !isEvent {
-			continue
-		}
-		if r.consecutive {
-			return follows(r.lastEventID, id)
-		}
+	id, found := firstEventID(events)
+	switch {
+	case !found:
+		return true
+	case r.consecutive:
+		return follows(r.lastEventID, id)
+	default:
 		return id != "" && id != r.lastEventID
 	}
-	return true
-}
-
-// eventID returns the id of an event, and false for comments.
-func eventID(event []byte) (id string, isEvent bool) {
-	for line := range bytes.SplitSeq(event, []byte("\n")) {
-		if rest, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(rest)), true
-		}
-		isEvent = isEvent || len(line) > 0 && line[0] != ':'
-	}
-	return "", isEvent
-}
-
-// normalLineEnds returns a stream with a line feed at the end of each line.
-func normalLineEnds(events []byte) []byte {
-	events = bytes.ReplaceAll(events, []byte("\r\n"), []byte("\n"))
-	return bytes.ReplaceAll(events, []byte("\r"), []byte("\n"))
-}
-
-// isComment reports whether a line of a stream is empty or a comment.
-func isComment(line []byte) bool {
-	line = bytes.TrimRight(line, "\r\n")
-	return len(line) == 0 || line[0] == ':'
 }
 
 func isNumber(id string) bool {
