gateway: a stream whose last id fits into no header is not continued elsewhere

An upstream gives an event an id with a control character and then breaks off. The router tries to name that id to another upstream, package net/http refuses the header, and the router takes that for an upstream that cannot be reached: it ejects a sound one, and the caller still sees the break.

Evidence: on a test shows "upstream ejected" with the reason "no connection: net/http: invalid header field value for Last-Event-Id". Ruled out: the dial, which is not reached.

Change: such a stream cannot be continued. It is broken off at once, and no upstream is tried or blamed. Its watchdog stops as well, as for streams without ids. The check of golang.org/x/net, which net/http uses, was weighed: it brings the tables of international domain names with it, for one line of the standard library.

Test: TestAnswerWithoutIDsIsNotContinued failed before for ids with control characters, with each line ending, and passes.

--- a/gateway/continue_test.go
+++ b/gateway/continue_test.go
@@ -49,7 +49,8 @@
 	}
 }
 
-// A document, or events without ids, must not be followed by another upstream's answer.
+// A document, or events without ids or with ids that no request can name, must not be
+// followed by another upstream's answer.
 func TestAnswerWithoutIDsIsNotContinued(t *testing.T) {
 	for sent, continues := range map[string]bool{
 		"":                                   true,
@@ -58,6 +59,10 @@
 		"event: e\nid: 1\ndata: a\n\n":       true,
 		"data: hello\n\nid: 1\ndata: a\n\n":  true,
 		"data: a\n\n":                        false,
+		"id: \x01\ndata: a\n\n":              false,
+		"id: a\x00b\ndata: a\n\n":            false,
+		"id: 1\ndata: a\n\nid:\ndata: b\n\n": false,
+		"id: \x01\n\nid: 2\ndata: a\n\n":     true,
 		": comment\n\nevent: e\ndata: a\n\n": false,
 		"{\"text\": \"a document\"}\n\n":     false,
 	} {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 
 	"github.com/rotisserie/eris"
 
@@ -217,8 +219,14 @@
 }
 
 // canContinue reports whether another upstream can continue the response. It cannot if
-// the caller has received something that no id tells from the begin of another answer.
-func (r *callerResponse) canContinue() bool { return r.lastEventID != "" || !r.unnumbered }
+// the caller has received something that no id tells from the begin of another answer, or
+// an id that no header can hold.
+func (r *callerResponse) canContinue() bool {
+	if r.lastEventID == "" {
+		return !r.unnumbered
+	}
+	return !strings.ContainsFunc(r.lastEventID, unicode.IsControl)
+}
 
 // continuesWith reports whether events may follow those that were sent to the caller.
 // After events with ids only events with later ones may, and none may be missing.
