catalog: routes are matched in a canonical form of the encoded path

What callers saw: POST /book/status%2F0, of a route whose requests may run once, is taken for one of the route /book/status/, whose requests may be repeated. It gets the other settings of that route as well.

Cause: the decoded path of net/url was matched, in which an encoded slash is a separator, while the upstream gets the path as it was sent.

Evidence: the test counts two runs for status%2F1 and one for paths that no decoding changes. Ruled out: the order of routes, and retries, which follow the kind of the selected route.

Change: paths and prefixes are compared in one canonical form, in which all escapes are decoded but those of slashes and percent signs. Equivalent paths select the same route, as before. Comparing the bytes as sent was weighed: /b%6Fok/ would get 404.

Tests: TestEncodedSlashDoesNotSelectAnotherRoute failed before (2 runs in place of 1, for %2F and %2f).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -35,7 +35,7 @@
 type Route struct {
 	Name     string
 	Host     string
-	Prefix   string
+	Prefix   string // of the path, as CanonicalPath returns it
 	Kind     Kind
 	Backends []Backend
 	// Timeout bounds the time that a request may take.
@@ -156,8 +156,10 @@
 }
 
 // Match returns the route of host with the longest prefix of path, or nil if there
-// is none. The case and the port of host are ignored.
+// is none. The path is percent-encoded, as the caller sent it. The case and the port of
+// host are ignored.
 func (t *Table) Match(host, path string) *Route {
+	path = CanonicalPath(path)
 	for _, r := range t.byHost[normalHost(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -172,7 +172,7 @@
 	if callerTimeout <= 0 {
 		callerTimeout = defaultCallerTimeout
 	}
-	c.route = snapshot.Value.Match(c.request.Host, c.request.URL.Path)
+	c.route = snapshot.Value.Match(c.request.Host, c.request.URL.EscapedPath())
 	if c.route == nil {
 		h.reject(w, c, http.StatusNotFound, "no route matches host and path")
 		return false
