entry: plain services get the path as the caller sent it

On the product's own interface a call to /v1/services/order-desk/orders/a%2Fb reached the service as /orders/a/b, and one with %3F as a path with a query: the handler built the path from the decoded value of net/http's pattern.

Change: it is the rest of the encoded path. Ruled out: package upstream, which sends the path that it gets.

Test: TestPlainServiceGetsThePathAsItWasSent failed before (/orders/a/b in place of /orders/a%2Fb). The tests of entry pass.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -151,7 +151,7 @@
 	h.mux.HandleFunc("GET /v1/entries", h.entries)
 	h.mux.HandleFunc("POST /v1/completions", h.completions)
 	h.mux.HandleFunc("GET /v1/requests/{id}/events", h.resume)
-	h.mux.HandleFunc("/v1/services/{service}/{path...}", h.plain)
+	h.mux.HandleFunc(servicesPath+"{service}/{path...}", h.plain)
 	h.mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	h.mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		writeError(w, "", notRunError(http.StatusNotFound, CodeBadRequest, "there is no such path"))
--- a/entry/handler_test.go
+++ b/entry/handler_test.go
@@ -257,6 +257,22 @@
 	}
 }
 
+// TestPlainServiceGetsThePathAsItWasSent guards against a path whose escapes become
+// separators, or the begin of a query, on the way to a plain service.
+func TestPlainServiceGetsThePathAsItWasSent(t *testing.T) {
+	fx := newFixture(t)
+	received := make(chan string, 1)
+	service := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { received <- r.RequestURI }))
+	t.Cleanup(service.Close)
+	for i := range fx.scheduler.hosts {
+		fx.scheduler.hosts[i].Address = strings.TrimPrefix(service.URL, "http://")
+	}
+	for _, path := range []string{"/orders/a%2Fb", "/orders/a%3Fb", "/orders/100%25", "/orders/%20", "/orders/7?x=%2F", "/"} {
+		require.Equal(t, http.StatusOK, fx.send("GET", "/v1/services/order-desk"+path, "", nil).status, path)
+		require.Equal(t, path, <-received)
+	}
+}
+
 // deadlineRecorder records the write deadlines that a handler sets.
 type deadlineRecorder struct {
 	*httptest.ResponseRecorder
--- a/entry/plain.go
+++ b/entry/plain.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"strconv"
 	"time"
 
@@ -45,6 +46,9 @@
 	mayHaveRun bool
 }
 
+// servicesPath is the begin of the paths of calls to plain services.
+const servicesPath = "/v1/services/"
+
 // plain serves /v1/services/{service}/{path...}.
 func (h *Handler) plain(w http.ResponseWriter, r *http.Request) {
 	id, e := requestID(r)
@@ -86,7 +90,9 @@
 		return nil, notRunError(http.StatusBadRequest, CodeBadRequest,
 			fmt.Sprintf("%s is longer than %d bytes", headerIdempotencyKey, maxIdempotencyKeyBytes))
 	}
-	path := "/" + r.PathValue("path")
+	// PathValue is decoded, so that escapes would become separators.
+	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), servicesPath), "/")
+	path = "/" + path
 	if r.URL.RawQuery != "" {
 		path += "?" + r.URL.RawQuery
 	}
