--- a/entry/plain.go
+++ b/entry/plain.go
@@ -6,8 +6,8 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strings"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
