gateway: the events of an attempt decide whether its stream broke off

What callers saw: a stream is resumed, by its caller or by the router. The engine that gets the rest sends the head of an answer without a length or chunks and ends before its first event.

Cause: the check for an answer without framing that ends before its first event looked at the request in place of the attempt. It counted the events of all attempts, and left out requests that resume a stream.

Evidence: the tests fail with both kinds of resumption, and the answers have status 200 and end in order. Ruled out: the comparison of the rest with what the caller has (nothing to compare), and an end inside an event.

Change: the events that the attempt has relayed decide. It is tried elsewhere within the limit on attempts; otherwise the caller sees the break. A caller that resumes after the last event, at engines without framing, gets a break in place of an empty answer, which can't be told from a crash.

--- a/gateway/framing_test.go
+++ b/gateway/framing_test.go
@@ -71,6 +71,59 @@
 	}
 }
 
+// A stream that its caller resumes must not end as complete if its engine, whose answer has
+// no framing, ends the connection before the first event.
+func TestResumedStreamWithoutEventsDoesNotLookComplete(t *testing.T) {
+	s := newSite(t, 1, 0)
+	r := s.start(true)
+	s.engines[0].SetBehaviour(site.UnframedEmpty)
+	q := streamRequest(site.StreamPath)
+	q.header = map[string]string{"Last-Event-Id": "3"}
+	got := r.ask(q)
+	assert.True(t, got.err != nil || got.status == http.StatusBadGateway, "status %d, body %q", got.status, got.body)
+}
+
+// A stream that its caller resumes must go on at another engine if the first one, whose answer
+// has no framing, ends the connection before the first event.
+func TestResumedStreamWithoutEventsContinuesElsewhere(t *testing.T) {
+	s := newSite(t, 2, 0)
+	r := s.start(true)
+	for _, empty := range s.engines {
+		empty.SetBehaviour(site.UnframedEmpty)
+		q := streamRequest(site.StreamPath)
+		q.header = map[string]string{"Last-Event-Id": "3"}
+		got := r.ask(q)
+		empty.SetBehaviour(site.Healthy)
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusOK, got.status)
+		assert.Equal(t, site.StreamBody(4, 6), got.body)
+	}
+}
+
+// A stream that the router continues must not end as complete if the second engine, whose
+// answer has no framing, ends the connection before its first event.
+func TestContinuedStreamWithoutEventsDoesNotLookComplete(t *testing.T) {
+	s := newSite(t, 0, 0)
+	for i, id := range []string{"first", "second"} {
+		s.serveAs(id, site.EngineService, 160+i, func(w http.ResponseWriter, request *http.Request) {
+			w.Header().Set("Request-Id", request.Header.Get("Request-Id"))
+			w.Header().Set("Response-Seal", "seal")
+			w.Header().Set("Content-Type", "text/event-stream")
+			if request.Header.Get("Last-Event-Id") != "" {
+				w.Header().Set("Transfer-Encoding", "identity") // net/http then leaves out the chunks
+				return
+			}
+			_, _ = io.WriteString(w, site.StreamBody(1, 3)) // an error means that the router has disconnected
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+	}
+	r := s.start(true)
+	got := r.ask(streamRequest(site.StreamPath))
+	assert.Equal(t, site.StreamBody(1, 3), got.body)
+	assert.Error(t, got.err)
+}
+
 // A plain answer without framing that is reset must not reach its caller as complete.
 func TestResetPlainAnswerWithoutFramingDoesNotLookComplete(t *testing.T) {
 	s := newSite(t, 0, 1)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -140,7 +140,7 @@
 		}
 		c.unfinished = len(events.pending)
 		if errors.Is(err, io.EOF) {
-			return h.endStream(out, c, a, response, &events)
+			return h.endStream(out, c, a, response, &events, out.events-eventsBefore)
 		}
 		if err == nil && (len(events.pending) > maxEventBytes || !held.set(int64(len(events.pending)))) {
 			err = errEventTooLarge
@@ -155,14 +155,14 @@
 }
 
 // endStream ends the response after the last byte of a stream, or reports that the
-// stream broke off.
-func (h *Handler) endStream(out *callerResponse, c *call, a *assignment, response *http.Response, events *eventBuffer) result {
+// stream broke off. relayed is the number of events that this attempt has relayed.
+func (h *Handler) endStream(out *callerResponse, c *call, a *assignment, response *http.Response, events *eventBuffer, relayed int) result {
 	h.noteTrailer(c, a, response)
 	if events.insideEvent() && (isEventStream(response) || c.framing == framedByConnection) {
 		c.progress.lost = true
 		return result{maybeRan, placement.Failed, "stream broke off: it ended inside an event"}
 	}
-	if c.framing == framedByConnection && out.events == 0 && c.headers.LastEvent == "" {
+	if c.framing == framedByConnection && relayed == 0 {
 		c.progress.lost = true
 		return result{maybeRan, placement.Failed, "stream broke off: it ended before the first event"}
 	}
--- a/gateway/site_test.go
+++ b/gateway/site_test.go
@@ -82,13 +82,19 @@
 // serve registers handler as an upstream with the id "own" on the address with the last
 // byte host.
 func (s *testSite) serve(service string, host int, handler http.HandlerFunc) {
+	s.t.Helper()
+	s.serveAs("own", service, host, handler)
+}
+
+// serveAs registers handler as an upstream on the address with the last byte host.
+func (s *testSite) serveAs(id, service string, host int, handler http.HandlerFunc) {
 	s.t.Helper()
 	listener, err := net.Listen("tcp", s.ip(host)+":8080")
 	require.NoError(s.t, err)
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }() // ends with Close
 	s.t.Cleanup(func() { server.Close() })
-	s.store.Put("servers", "own", map[string]any{
+	s.store.Put("servers", id, map[string]any{
 		"service": service, "address": listener.Addr().String(), "zone": "a", "slots": 8, "state": "ready", "born": 1,
 	})
 }
