gateway: the permission of an attempt does not follow later attempts

No wrong answer was seen; by reading, a dial of an earlier attempt could get the permission that only a later one has while the router stops.

Change: the attempt keeps the value of its begin. Ruled out as the place for a lock: the value is that of one attempt, so nothing has to be shared.

Test: TestPermissionBelongsToItsAttempt, with the value read from the request as before: false in place of true twice, and a report of the race detector. It passes with the change.

--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/lacewingshift/lacewingshift/budget"
 	"github.com/lacewingshift/lacewingshift/catalog"
@@ -72,6 +73,29 @@
 	assert.Equal(t, http.StatusServiceUnavailable, recorder.Code, recorder.Body)
 }
 
+// The permission of an attempt to send must not follow what later attempts of the request do:
+// a dial that outlives its attempt would read that while it is written.
+func TestPermissionBelongsToItsAttempt(t *testing.T) {
+	now := time.Now()
+	h := backloggedHandler(now, catalog.Upstream{ID: "e-1"})
+	h.pools.setRemote(now, &fleet.Totals{}, 1)
+	table := h.config.Get().Value
+	c := &call{
+		request: engineRequest("x"), service: table.Service("s"), workspace: table.Workspace(site.Key),
+		route: table.Match(site.Host, "/x"), headers: platform.CallerRequest{PromptTokens: 10}, deadline: now.Add(time.Second),
+	}
+	a := h.pools.assign(now, c)
+	require.False(t, a.Refused(), a.Reason)
+	permitted := h.permission(c, &a)
+	require.True(t, permitted())
+	h.stopState = func() shutdown.State { return shutdown.Refusing }
+	dial := make(chan bool)
+	go func() { dial <- permitted() }()
+	c.mayHaveRun = true
+	assert.False(t, <-dial)
+	assert.False(t, permitted(), "a later attempt does not give an earlier one its permission")
+}
+
 // BenchmarkRefusal measures what refusing a request, beyond its workspace's share or for
 // lack of an upstream, costs the router, apart from net/http. A flood of them must not
 // saturate a small host.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -83,7 +83,7 @@
 			h.giveUp(out, c, http.StatusServiceUnavailable, reason, notReadyRetry)
 			return
 		}
-		if h.turnsAway(c) {
+		if h.turnsAway(c.mayHaveRun) {
 			h.giveUp(out, c, http.StatusServiceUnavailable, reasonStops, notReadyRetry)
 			return
 		}
@@ -134,7 +134,18 @@
 
 // turnsAway reports whether the router stops and a request that has not run is left to
 // another router. Its answer could come too late for this one.
-func (h *Handler) turnsAway(c *call) bool { return !c.mayHaveRun && h.stopState() >= shutdown.Refusing }
+func (h *Handler) turnsAway(mayHaveRun bool) bool {
+	return !mayHaveRun && h.stopState() >= shutdown.Refusing
+}
+
+// permission returns a function that reports whether an attempt may still send its request.
+// It may be called after the attempt has ended, by a dial that goes on in the background.
+func (h *Handler) permission(c *call, a *assignment) func() bool {
+	mayHaveRun := c.mayHaveRun // changes with the next attempts
+	return func() bool {
+		return h.mustWait() == "" && !h.turnsAway(mayHaveRun) && h.pools.maySend(time.Now(), c, a)
+	}
+}
 
 // nextAssignment returns the upstream for the next attempt: the one that the watchdog
 // of a silent attempt has reserved, or a new one. It returns false if no further
@@ -210,7 +221,7 @@
 	defer watchdog.stop()
 	defer context.AfterFunc(h.exit, func() { cancel(errExits) })()
 
-	permitted := func() bool { return h.mustWait() == "" && !h.turnsAway(c) && h.pools.maySend(time.Now(), c, a) }
+	permitted := h.permission(c, a)
 	if !permitted() {
 		return classify(ctx, errWithheld, false, false)
 	}
