--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -12,7 +12,8 @@
 )
 
 // Errors of this package. ErrNotSent guarantees that no byte of the request reached
-// the upstream, and ErrRefused that the upstream states that it did not run the request. After any other error the request may have run.
+// the upstream, and ErrRefused that the upstream states that it did not run the request.
+// After any other error the request may have run.
 var (
 	ErrNotSent      = eris.New("upstream could not be reached")
 	ErrRefused      = eris.New("upstream refused the request")
